--- /dev/null
+++ b/anvilpick-cli/src/main/java/io/anvilpick/cli/CliException.java
@@ -0,0 +1,19 @@
+package io.anvilpick.cli;
+
+import io.anvilpick.settings.ExitCode;
+
+/** A command that ends early; the message is meant for the operator. */
+final class CliException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private final ExitCode code;
+
+    CliException(ExitCode code, String message) {
+        super(message);
+        this.code = code;
+    }
+
+    ExitCode code() {
+        return code;
+    }
+}
--- /dev/null
+++ b/anvilpick-cli/src/main/java/io/anvilpick/cli/Files.java
@@ -0,0 +1,35 @@
+package io.anvilpick.cli;
+
+import io.anvilpick.config.Configuration;
+import io.anvilpick.questionnaire.Questionnaire;
+import io.anvilpick.questionnaire.QuestionnaireException;
+import io.anvilpick.settings.ExitCode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.stream.Collectors;
+
+/** Reads the files that operators name. */
+final class Files {
+    private Files() {}
+
+    static String read(String path) throws CliException {
+        try {
+            return java.nio.file.Files.readString(Path.of(path), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new CliException(
+                    ExitCode.NO_INPUT,
+                    path + ": cannot be read: " + e.getClass().getSimpleName());
+        }
+    }
+
+    static Configuration readQuestionnaire(String path, long contractEpoch) throws CliException {
+        try {
+            return Questionnaire.generate(read(path), contractEpoch);
+        } catch (QuestionnaireException e) {
+            String faults =
+                    e.faults().stream().map(fault -> path + ": " + fault).collect(Collectors.joining("\n"));
+            throw new CliException(ExitCode.DATA, faults + "\n" + e.faults().size() + " faults; nothing was done");
+        }
+    }
+}
--- /dev/null
+++ b/anvilpick-cli/src/main/java/io/anvilpick/cli/OperatorCommand.java
@@ -0,0 +1,20 @@
+package io.anvilpick.cli;
+
+import io.anvilpick.config.ConfigurationException;
+import io.anvilpick.platform.PlatformException;
+import io.anvilpick.settings.ExitCode;
+
+/** A command of the operator client. */
+sealed interface OperatorCommand
+        permits TemplateCommand,
+                KeysCommand,
+                CheckCommand,
+                GenerateCommand,
+                DiffCommand,
+                AcceptCommand,
+                StatusCommand,
+                HistoryCommand,
+                HelpCommand {
+    /** Runs the command and returns how the process ends. */
+    ExitCode run(Console console) throws CliException, PlatformException, ConfigurationException;
+}
--- /dev/null
+++ b/anvilpick-cli/src/main/java/io/anvilpick/cli/TemplateCommand.java
@@ -0,0 +1,38 @@
+package io.anvilpick.cli;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.google.common.io.Resources;
+import io.anvilpick.settings.ExitCode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Prints a questionnaire to fill in. */
+@Command(name = "template", description = "Print a questionnaire with comments, ready to be filled in")
+public final class TemplateCommand implements OperatorCommand {
+    private static final List<String> EXAMPLES = List.of("plazhna-smetka", "tancparkett");
+
+    @Option(name = "--example", description = "Start from an example: plazhna-smetka or tancparkett")
+    private String example = EXAMPLES.get(0);
+
+    @Override
+    public ExitCode run(Console console) throws CliException {
+        if (!EXAMPLES.contains(example)) {
+            throw new CliException(
+                    ExitCode.USAGE, "--example: '" + example + "': must be one of " + String.join(", ", EXAMPLES));
+        }
+        console.out().print(textOf(example));
+        return ExitCode.OK;
+    }
+
+    private static String textOf(String name) {
+        try {
+            return Resources.toString(
+                    Resources.getResource(TemplateCommand.class, name + ".yaml"), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/calls/CallEvents.java
@@ -0,0 +1,18 @@
+package io.anvilpick.calls;
+
+import io.anvilpick.error.ErrorKind;
+
+/** The port through which calls are counted. Implementations are thread safe and do not block. */
+public interface CallEvents {
+    /** A call was answered by a target after {@code nanos} in this daemon. */
+    void answered(String service, String request, String tenant, long nanos);
+
+    /** A call ended without a target's answer. */
+    void refused(String service, String request, String tenant, ErrorKind kind);
+
+    /** A call was sent to another target after a failure. */
+    void retried(String service);
+
+    /** A call was sent to a second target since the first was late. */
+    void hedged(String service);
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/calls/Sender.java
@@ -0,0 +1,164 @@
+package io.anvilpick.calls;
+
+import io.anvilpick.error.CallException;
+import io.anvilpick.error.ErrorKind;
+import io.anvilpick.routing.Admission;
+import io.anvilpick.routing.Assignment;
+import io.anvilpick.routing.Call;
+import io.anvilpick.routing.CallResult;
+import io.anvilpick.routing.Dispatcher;
+import io.anvilpick.time.TimeSource;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+
+/** Sends calls to targets: waits for a slot, hedges, and sends again where that is safe. Thread safe. */
+public final class Sender {
+    private static final int MOST_ATTEMPTS = 3;
+
+    private final CrashGuard crashes;
+    private final CallEvents events;
+    private final WaitingRoom waitingRoom;
+    private final HedgedExchange hedging;
+
+    /** Creates a sender. */
+    public Sender(TargetClient targets, CrashGuard crashes, CallEvents events, TimeSource time) {
+        this.crashes = crashes;
+        this.events = events;
+        this.waitingRoom = new WaitingRoom(time);
+        this.hedging = new HedgedExchange(targets, events, time, this::finish);
+    }
+
+    /**
+     * Returns a target's whole answer, blocking the calling thread.
+     *
+     * @throws CallException of a kind that tells truly whether the call may have run
+     * @throws InterruptedException if the caller went away
+     */
+    public CallAnswer send(Dispatcher dispatcher, Call call, CallRequest request)
+            throws CallException, InterruptedException {
+        CompletableFuture<Admission> wake = waitingRoom.enter(call);
+        try {
+            return sendWaiting(dispatcher, call, request, wake);
+        } finally {
+            waitingRoom.leave(call);
+        }
+    }
+
+    private CallAnswer sendWaiting(
+            Dispatcher dispatcher, Call call, CallRequest request, CompletableFuture<Admission> wake)
+            throws CallException, InterruptedException {
+        Set<String> failed = new HashSet<>();
+        Admission admission = dispatcher.submit(call);
+        CallException lastFailure = new CallException(ErrorKind.NO_TARGET, "no target could be reached");
+        for (int attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
+            Assignment assignment = assigned(dispatcher, call, admission, wake, lastFailure, attempt);
+            CallRequest sent = request.withDeadline(call.deadline(), request.attempt() + attempt);
+            Attempt outcome = hedging.run(dispatcher, assignment, sent);
+            if (outcome.reply() instanceof TargetReply.Answered answered && !answered.notRun()) {
+                return answered.answer();
+            }
+            lastFailure = failureOf(outcome, call);
+            if (!mayTryAgain(outcome.reply(), call, request)) {
+                throw lastFailure;
+            }
+            checkCrash(outcome, request);
+            failed.add(outcome.assignment().target().id());
+            events.retried(request.service());
+            wake = waitingRoom.enter(call);
+            admission = dispatcher.retry(call, failed);
+        }
+        throw lastFailure;
+    }
+
+    private Assignment assigned(
+            Dispatcher dispatcher,
+            Call call,
+            Admission admission,
+            CompletableFuture<Admission> wake,
+            CallException lastFailure,
+            int attempt)
+            throws CallException, InterruptedException {
+        Admission decided =
+                admission instanceof Admission.Waiting ? waitingRoom.await(call, wake, dispatcher) : admission;
+        return switch (decided) {
+            case Admission.Assigned assigned -> assigned.assignment();
+            case Admission.Refused refused -> {
+                if (attempt > 0) {
+                    throw lastFailure;
+                }
+                throw new CallException(refused.kind(), "the call was not sent: " + refused.kind());
+            }
+            case Admission.Waiting ignored -> throw new IllegalStateException("a call waits without end");
+        };
+    }
+
+    /** Only what certainly did not run, or is idempotent, is sent again; and only by the first layer that could. */
+    private static boolean mayTryAgain(TargetReply reply, Call call, CallRequest request) {
+        return switch (reply) {
+            case TargetReply.NotSent ignored -> true;
+            case TargetReply.Answered answered -> answered.notRun() && request.attempt() == 0;
+            case TargetReply.Lost ignored -> call.request().idempotent() && request.attempt() == 0;
+            case TargetReply.Cut ignored -> call.request().idempotent() && request.attempt() == 0;
+            case TargetReply.TimedOut ignored -> false;
+            case TargetReply.Cancelled ignored -> false;
+        };
+    }
+
+    private static CallException failureOf(Attempt outcome, Call call) {
+        String target = outcome.assignment().target().id();
+        return switch (outcome.reply()) {
+            case TargetReply.NotSent notSent ->
+                new CallException(ErrorKind.NO_TARGET, "no connection to target " + target + ": " + notSent.reason());
+            case TargetReply.Answered ignored ->
+                new CallException(ErrorKind.TARGET_REFUSED, "target " + target + " did not run the call");
+            case TargetReply.Lost lost ->
+                new CallException(
+                        ErrorKind.CONNECTION_LOST, "connection to target " + target + " lost: " + lost.reason());
+            case TargetReply.Cut cut ->
+                new CallException(ErrorKind.ANSWER_CUT, "answer of target " + target + " cut: " + cut.reason());
+            case TargetReply.TimedOut ignored ->
+                new CallException(
+                        ErrorKind.DEADLINE_AFTER_SEND,
+                        "no answer of class " + call.request().name() + " in time");
+            case TargetReply.Cancelled ignored ->
+                new CallException(ErrorKind.CONNECTION_LOST, "the call was cancelled");
+        };
+    }
+
+    /** A call whose target crashed must pass the crash guard before it is sent again. */
+    private void checkCrash(Attempt outcome, CallRequest request) throws CallException, InterruptedException {
+        if (!(outcome.reply() instanceof TargetReply.Lost)) {
+            return;
+        }
+        try {
+            crashes.noteLost(outcome.assignment().target(), request).get();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a target could not be looked at", e);
+        }
+        crashes.awaitPass(request);
+    }
+
+    private void finish(Dispatcher dispatcher, Assignment assignment, CallRequest request, TargetReply reply) {
+        waitingRoom.wake(dispatcher.finish(assignment, resultOf(reply)));
+        if (reply instanceof TargetReply.Lost) {
+            crashes.noteLost(assignment.target(), request);
+        }
+    }
+
+    private static CallResult resultOf(TargetReply reply) {
+        return switch (reply) {
+            case TargetReply.Answered answered ->
+                answered.notRun()
+                        ? new CallResult.Shed(answered.leaving())
+                        : new CallResult.Answered(
+                                answered.inFlight(), answered.answer().isServerError(), answered.leaving());
+            case TargetReply.NotSent ignored -> new CallResult.ConnectFailed();
+            case TargetReply.Lost ignored -> new CallResult.Lost();
+            case TargetReply.Cut ignored -> new CallResult.Lost();
+            case TargetReply.TimedOut ignored -> new CallResult.TimedOut();
+            case TargetReply.Cancelled ignored -> new CallResult.Cancelled();
+        };
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/calls/WaitingRoom.java
@@ -0,0 +1,77 @@
+package io.anvilpick.calls;
+
+import io.anvilpick.error.ErrorKind;
+import io.anvilpick.routing.Admission;
+import io.anvilpick.routing.Assignment;
+import io.anvilpick.routing.Call;
+import io.anvilpick.routing.Dispatch;
+import io.anvilpick.routing.Dispatcher;
+import io.anvilpick.shard.Shards;
+import io.anvilpick.time.TimeSource;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Wakes the threads of waiting calls when their time has come, in shards by call. Thread safe. */
+final class WaitingRoom {
+    private static final int SHARDS = 64;
+
+    /** Span after which a waiting thread asks the dispatcher again, in case no other call ends meanwhile. */
+    private static final Duration ASK_AGAIN_AFTER = Duration.ofMillis(20);
+
+    private final TimeSource time;
+    private final Shards<Map<Long, CompletableFuture<Admission>>> waiting = Shards.create(SHARDS, HashMap::new);
+
+    WaitingRoom(TimeSource time) {
+        this.time = time;
+    }
+
+    /** Makes ready to wait for {@code call}; to be called before the call is handed to the dispatcher. */
+    CompletableFuture<Admission> enter(Call call) {
+        CompletableFuture<Admission> wake = new CompletableFuture<>();
+        waiting.withShardOf(call.id(), shard -> shard.put(call.id(), wake));
+        return wake;
+    }
+
+    void leave(Call call) {
+        waiting.withShardOf(call.id(), shard -> shard.remove(call.id()));
+    }
+
+    /** Wakes the calls that {@code dispatch} names. */
+    void wake(Dispatch dispatch) {
+        for (Assignment assignment : dispatch.assigned()) {
+            wake(assignment.call(), new Admission.Assigned(assignment));
+        }
+        for (Call call : dispatch.expired()) {
+            wake(call, new Admission.Refused(ErrorKind.DEADLINE_BEFORE_SEND));
+        }
+    }
+
+    /** Blocks until {@code call} is assigned or refused, its deadline at the latest. */
+    Admission await(Call call, CompletableFuture<Admission> wake, Dispatcher dispatcher) throws InterruptedException {
+        while (true) {
+            long remaining = call.deadline().remainingNanos(time.nanos());
+            if (remaining <= 0 && dispatcher.cancel(call)) {
+                return new Admission.Refused(ErrorKind.DEADLINE_BEFORE_SEND);
+            }
+            try {
+                return wake.get(Math.clamp(remaining, 1, ASK_AGAIN_AFTER.toNanos()), TimeUnit.NANOSECONDS);
+            } catch (TimeoutException e) {
+                wake(dispatcher.dispatch());
+            } catch (ExecutionException e) {
+                throw new IllegalStateException("a waiting call was woken with a failure", e);
+            }
+        }
+    }
+
+    private void wake(Call call, Admission admission) {
+        CompletableFuture<Admission> wake = waiting.withShardOf(call.id(), shard -> shard.get(call.id()));
+        if (wake != null) {
+            wake.complete(admission);
+        }
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/config/RequestConfig.java
@@ -0,0 +1,35 @@
+package io.anvilpick.config;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * A class of requests that a service answers.
+ *
+ * @param name unique within the service; names the histogram of the class
+ * @param method HTTP method
+ * @param pathPrefix the path starts with this
+ * @param idempotent whether running a request twice is harmless
+ * @param keyRequired whether an idempotency key must be sent; only for non-idempotent requests
+ * @param timeoutMillis milliseconds after which a caller no longer needs the answer
+ * @param priority calls of a smaller number go first when calls wait
+ */
+public record RequestConfig(
+        String name,
+        String method,
+        String pathPrefix,
+        boolean idempotent,
+        boolean keyRequired,
+        long timeoutMillis,
+        int priority) {
+    public RequestConfig {
+        checkArgument(!name.isEmpty(), "name must not be empty");
+        checkArgument(pathPrefix.startsWith("/"), "pathPrefix must start with a slash: %s", pathPrefix);
+        checkArgument(timeoutMillis > 0, "timeoutMillis must be positive: %s", timeoutMillis);
+        checkArgument(!(idempotent && keyRequired), "an idempotent request needs no key: %s", name);
+    }
+
+    /** Returns whether a request of {@code otherMethod} and {@code path} belongs to this class. */
+    public boolean matches(String otherMethod, String path) {
+        return method.equals(otherMethod) && path.startsWith(pathPrefix);
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/config/ServiceConfig.java
@@ -0,0 +1,147 @@
+package io.anvilpick.config;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A service: its targets, the classes of its requests and the limits that hold for it.
+ *
+ * @param name unique in the configuration
+ * @param slotsPerTarget calls that a target works on at a time
+ * @param connectionsPerTarget connections that a target takes in all, from every daemon together
+ * @param measuringPerMille the share of slot time, in thousandths, that measuring may use
+ * @param homes number of daemons in a region that callers of the service are sent to
+ * @param keyMemoryMillis milliseconds for which an idempotency key is remembered
+ * @param requests classes of requests; the first that matches counts
+ * @param targets the backend server processes
+ */
+public record ServiceConfig(
+        String name,
+        int slotsPerTarget,
+        int connectionsPerTarget,
+        int measuringPerMille,
+        int homes,
+        long keyMemoryMillis,
+        ImmutableList<RequestConfig> requests,
+        ImmutableList<TargetConfig> targets) {
+    public ServiceConfig {
+        checkArgument(!name.isEmpty(), "name must not be empty");
+        checkArgument(slotsPerTarget > 0, "slotsPerTarget must be positive: %s", slotsPerTarget);
+        checkArgument(connectionsPerTarget > 0, "connectionsPerTarget must be positive: %s", connectionsPerTarget);
+        checkArgument(measuringPerMille >= 0, "measuringPerMille must not be negative: %s", measuringPerMille);
+        checkArgument(homes > 0, "homes must be positive: %s", homes);
+        checkArgument(keyMemoryMillis > 0, "keyMemoryMillis must be positive: %s", keyMemoryMillis);
+    }
+
+    /** Returns the first class of requests that matches, in O(classes). */
+    public Optional<RequestConfig> requestFor(String method, String path) {
+        for (RequestConfig request : requests) {
+            if (request.matches(method, path)) {
+                return Optional.of(request);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns a builder for a service called {@code name}. */
+    public static Builder builder(String name) {
+        return new Builder(name);
+    }
+
+    /** Returns a builder that starts from this service. */
+    public Builder toBuilder() {
+        return new Builder(name)
+                .slotsPerTarget(slotsPerTarget)
+                .connectionsPerTarget(connectionsPerTarget)
+                .measuringPerMille(measuringPerMille)
+                .homes(homes)
+                .keyMemoryMillis(keyMemoryMillis)
+                .requests(requests)
+                .targets(targets);
+    }
+
+    /** Builds a {@link ServiceConfig}. Not thread safe. */
+    public static final class Builder {
+        private static final int DEFAULT_SLOTS = 4;
+        private static final int DEFAULT_CONNECTIONS = 220;
+        private static final int DEFAULT_MEASURING_PER_MILLE = 10;
+        private static final long DEFAULT_KEY_MEMORY_MILLIS = 86_400_000L;
+
+        private final String name;
+        private int slotsPerTarget = DEFAULT_SLOTS;
+        private int connectionsPerTarget = DEFAULT_CONNECTIONS;
+        private int measuringPerMille = DEFAULT_MEASURING_PER_MILLE;
+        private int homes = 1;
+        private long keyMemoryMillis = DEFAULT_KEY_MEMORY_MILLIS;
+        private @Nullable List<RequestConfig> requests;
+        private @Nullable List<TargetConfig> targets;
+
+        private Builder(String name) {
+            this.name = name;
+        }
+
+        /** Sets the calls that a target works on at a time. */
+        public Builder slotsPerTarget(int value) {
+            slotsPerTarget = value;
+            return this;
+        }
+
+        /** Sets the connections that a target takes in all. */
+        public Builder connectionsPerTarget(int value) {
+            connectionsPerTarget = value;
+            return this;
+        }
+
+        /** Sets the share of slot time for measuring, in thousandths. */
+        public Builder measuringPerMille(int value) {
+            measuringPerMille = value;
+            return this;
+        }
+
+        /** Sets the number of daemons that callers are sent to. */
+        public Builder homes(int value) {
+            homes = value;
+            return this;
+        }
+
+        /** Sets the milliseconds for which an idempotency key is remembered. */
+        public Builder keyMemoryMillis(long value) {
+            keyMemoryMillis = value;
+            return this;
+        }
+
+        /** Sets the classes of requests. */
+        public Builder requests(List<RequestConfig> value) {
+            requests = value;
+            return this;
+        }
+
+        /** Sets the targets. */
+        public Builder targets(List<TargetConfig> value) {
+            targets = value;
+            return this;
+        }
+
+        /**
+         * Returns the service.
+         *
+         * @throws NullPointerException if requests or targets were not set
+         */
+        public ServiceConfig build() {
+            return new ServiceConfig(
+                    name,
+                    slotsPerTarget,
+                    connectionsPerTarget,
+                    measuringPerMille,
+                    homes,
+                    keyMemoryMillis,
+                    ImmutableList.copyOf(checkNotNull(requests, "requests")),
+                    ImmutableList.copyOf(checkNotNull(targets, "targets")));
+        }
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/crashes/Verdict.java
@@ -0,0 +1,11 @@
+package io.anvilpick.crashes;
+
+/** Whether a request may run, as far as crashes go. */
+public enum Verdict {
+    /** Nothing is known against the request. */
+    CLEAR,
+    /** A target crashed while it ran the request, perhaps by another's fault: it may run once more, alone. */
+    SUSPECT,
+    /** The request crashed targets again: it does not run until that is forgotten. */
+    BLOCKED
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/membership/MemberTable.java
@@ -0,0 +1,128 @@
+package io.anvilpick.membership;
+
+import com.google.common.collect.ImmutableList;
+import io.anvilpick.shard.Shards;
+import io.anvilpick.time.TimeSource;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The members that this daemon knows of, itself among them, in shards by instance. Thread safe.
+ *
+ * <p>A member's beat, which only it raises, spreads among daemons; one whose beat stands still for too long is suspect.
+ */
+public final class MemberTable {
+    /** Time without a rising beat after which a member is suspect. */
+    public static final Duration SUSPECT_AFTER = Duration.ofSeconds(3);
+
+    /** Time after which a member that is suspect or gone is dropped from the table. */
+    public static final Duration FORGET_AFTER = Duration.ofMinutes(10);
+
+    private static final int SHARDS = 16;
+
+    private final TimeSource time;
+    private final String self;
+    private final Shards<Map<String, Row>> rows = Shards.create(SHARDS, HashMap::new);
+
+    private record Row(Member member, long risenAtNanos, boolean gone) {}
+
+    /** A member and what is known of its life. */
+    public record Known(Member member, Liveness liveness) {}
+
+    /** Creates a table that holds {@code self} alone. */
+    public MemberTable(Member self, TimeSource time) {
+        this.self = self.instance();
+        this.time = time;
+        merge(self);
+    }
+
+    /** Takes in a description; returns whether it was news. */
+    public boolean merge(Member member) {
+        return rows.withShardOf(member.instance(), shard -> {
+            Row known = shard.get(member.instance());
+            if (known != null
+                    && (known.gone() || member.beat() <= known.member().beat())) {
+                return false;
+            }
+            shard.put(member.instance(), new Row(member, time.nanos(), false));
+            return true;
+        });
+    }
+
+    /** Raises the own beat. */
+    public void beat() {
+        own().ifPresent(member -> merge(member.withBeat(member.beat() + 1)));
+    }
+
+    /** Marks the own member as leaving. */
+    public void leave() {
+        own().ifPresent(member -> merge(member.asLeaving(member.beat() + 1)));
+    }
+
+    /** Notes that {@code instance} certainly runs no more. */
+    public void markGone(String instance) {
+        rows.withShardOf(instance, shard -> {
+            Row known = shard.get(instance);
+            if (known != null && !instance.equals(self)) {
+                shard.put(instance, new Row(known.member(), known.risenAtNanos(), true));
+            }
+            return null;
+        });
+    }
+
+    /** Returns the own member. */
+    public Optional<Member> own() {
+        return rows.withShardOf(
+                self, shard -> Optional.ofNullable(shard.get(self)).map(Row::member));
+    }
+
+    /** Returns every member known, in no order, in O(members). */
+    public ImmutableList<Known> all() {
+        long now = time.nanos();
+        ImmutableList.Builder<Known> all = ImmutableList.builder();
+        rows.forEach(shard -> {
+            shard.values().removeIf(row -> isForgotten(row, now));
+            shard.values().forEach(row -> all.add(new Known(row.member(), livenessOf(row, now))));
+        });
+        return all.build();
+    }
+
+    /** Returns the members of {@code liveness}. */
+    public ImmutableList<Member> withLiveness(Collection<Liveness> liveness) {
+        ImmutableList.Builder<Member> members = ImmutableList.builder();
+        for (Known known : all()) {
+            if (liveness.contains(known.liveness())) {
+                members.add(known.member());
+            }
+        }
+        return members.build();
+    }
+
+    /** Returns the member of that instance, if known. */
+    public Optional<Known> find(String instance) {
+        long now = time.nanos();
+        return rows.withShardOf(instance, shard -> {
+            @Nullable Row row = shard.get(instance);
+            return row == null ? Optional.empty() : Optional.of(new Known(row.member(), livenessOf(row, now)));
+        });
+    }
+
+    private Liveness livenessOf(Row row, long now) {
+        if (row.gone()) {
+            return Liveness.GONE;
+        }
+        boolean own = row.member().instance().equals(self);
+        if (!own && now - row.risenAtNanos() > SUSPECT_AFTER.toNanos()) {
+            return Liveness.SUSPECT;
+        }
+        return row.member().leaving() ? Liveness.LEAVING : Liveness.LIVE;
+    }
+
+    private boolean isForgotten(Row row, long now) {
+        return !row.member().instance().equals(self) && now - row.risenAtNanos() > FORGET_AFTER.toNanos();
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/messages/PeerHandler.java
@@ -0,0 +1,8 @@
+package io.anvilpick.messages;
+
+/** Answers requests of other daemons. Implementations are thread safe and do not block. */
+@FunctionalInterface
+public interface PeerHandler {
+    /** Returns the reply to {@code request}. */
+    PeerReply handle(PeerRequest request);
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/messages/PeerRequest.java
@@ -0,0 +1,13 @@
+package io.anvilpick.messages;
+
+/** What one daemon asks of, or tells, another. */
+public sealed interface PeerRequest
+        permits ClaimVoteRequest,
+                ClaimSettleRequest,
+                ClaimReleaseRequest,
+                SealRequest,
+                InstallRequest,
+                GossipRequest,
+                PartsRequest,
+                CrashRequest,
+                AcquitRequest {}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/platform/VmState.java
@@ -0,0 +1,7 @@
+package io.anvilpick.platform;
+
+/** What the platform's lagging list says of a VM. */
+public enum VmState {
+    LIVE,
+    LEAVING
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/replication/ClaimMaps.java
@@ -0,0 +1,37 @@
+package io.anvilpick.replication;
+
+import io.anvilpick.claims.ClaimMap;
+import io.anvilpick.claims.ClaimTable;
+import java.util.concurrent.locks.ReentrantLock;
+
+/** The claim map as far as this daemon knows it, which only rises. Thread safe. */
+public final class ClaimMaps {
+    private final ReentrantLock lock = new ReentrantLock();
+    private final ClaimTable table;
+    private volatile ClaimMap current = ClaimMap.EMPTY;
+
+    /** Creates a holder of the empty map; {@code table} follows every later one. */
+    public ClaimMaps(ClaimTable table) {
+        this.table = table;
+    }
+
+    /** Returns the latest map known. */
+    public ClaimMap current() {
+        return current;
+    }
+
+    /** Takes up {@code map} if it is later than the one known; returns whether it is. */
+    public boolean offer(ClaimMap map) {
+        lock.lock();
+        try {
+            if (map.version() <= current.version()) {
+                return false;
+            }
+            current = map;
+            table.follow(map);
+            return true;
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/replication/Claimer.java
@@ -0,0 +1,155 @@
+package io.anvilpick.replication;
+
+import io.anvilpick.claims.Claim;
+import io.anvilpick.claims.ClaimGroup;
+import io.anvilpick.claims.ClaimKey;
+import io.anvilpick.claims.ClaimMap;
+import io.anvilpick.claims.ClaimRound;
+import io.anvilpick.claims.ClaimState;
+import io.anvilpick.claims.KeyAge;
+import io.anvilpick.claims.Vote;
+import io.anvilpick.messages.ClaimReleaseRequest;
+import io.anvilpick.messages.ClaimSettleRequest;
+import io.anvilpick.messages.ClaimVoteRequest;
+import io.anvilpick.messages.PeerReply;
+import io.anvilpick.messages.PeerRequest;
+import io.anvilpick.time.Deadline;
+import io.anvilpick.time.TimeSource;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.random.RandomGenerator;
+
+/**
+ * Claims keys at the replicas of their group and tells them how the calls ended. Thread safe if its source of randomness
+ * is.
+ */
+public final class Claimer {
+    private static final Duration VOTE_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration SETTLE_TIMEOUT = Duration.ofSeconds(2);
+    private static final int MOST_CONTENDED_ROUNDS = 5;
+    private static final long LEAST_PAUSE_MILLIS = 2;
+    private static final long PAUSE_SPREAD_MILLIS = 20;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long RUN_MARGIN_MILLIS = 1_000;
+
+    private final ClaimMaps maps;
+    private final ReplicaCaller replicas;
+    private final TimeSource time;
+    private final RandomGenerator random;
+
+    /**
+     * What a call wants to claim.
+     *
+     * @param key what is claimed
+     * @param fingerprint digest of the request
+     * @param memoryMillis milliseconds for which the claim is remembered
+     * @param deadline when the call ends at the latest
+     */
+    public record Wish(ClaimKey key, String fingerprint, long memoryMillis, Deadline deadline) {}
+
+    /** Creates a claimer. */
+    public Claimer(ClaimMaps maps, ReplicaCaller replicas, TimeSource time, RandomGenerator random) {
+        this.maps = maps;
+        this.replicas = replicas;
+        this.time = time;
+        this.random = random;
+    }
+
+    /** Claims a key, blocking until that is decided or the wish's deadline passes. */
+    public ClaimOutcome claim(Wish wish) throws InterruptedException {
+        String holder = Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
+        ClaimTicket ticket = new ClaimTicket(wish.key(), holder);
+        int contendedRounds = 0;
+        while (!wish.deadline().hasPassed(time)) {
+            ClaimMap map = maps.current();
+            if (map.isEmpty()) {
+                pause(wish.deadline());
+                continue;
+            }
+            ClaimGroup group = map.groupOf(wish.key());
+            Optional<KeyAge.Doubt> doubt =
+                    KeyAge.doubt(wish.key().key(), group, wish.memoryMillis(), time.epochMillis());
+            if (doubt.isPresent()) {
+                return new ClaimOutcome.Doubtful(doubt.get());
+            }
+            ClaimRound.Decision decision = vote(group, claimOf(wish, holder), wish.deadline());
+            if (decision instanceof ClaimRound.Decision.Won) {
+                return new ClaimOutcome.Won(ticket);
+            }
+            releaseAt(group, ticket);
+            if (decision instanceof ClaimRound.Decision.Held held) {
+                return new ClaimOutcome.Held(held.holder().asOf(time.epochMillis()));
+            }
+            if (decision instanceof ClaimRound.Decision.Contended contended
+                    && ++contendedRounds == MOST_CONTENDED_ROUNDS) {
+                return new ClaimOutcome.Held(contended.holder().asOf(time.epochMillis()));
+            }
+            pause(wish.deadline());
+        }
+        return new ClaimOutcome.Unavailable();
+    }
+
+    /** Tells the replicas how the call that holds {@code ticket} ended; returns without waiting for them. */
+    public void settle(ClaimTicket ticket, ClaimState end) {
+        ClaimMap map = maps.current();
+        if (map.isEmpty()) {
+            return;
+        }
+        ClaimGroup group = map.groupOf(ticket.key());
+        tell(group, new ClaimSettleRequest(group.index(), ticket.key(), ticket.holder(), end));
+    }
+
+    /** Gives up the claim of a call that certainly did not run; returns without waiting for the replicas. */
+    public void release(ClaimTicket ticket) {
+        ClaimMap map = maps.current();
+        if (!map.isEmpty()) {
+            releaseAt(map.groupOf(ticket.key()), ticket);
+        }
+    }
+
+    private Claim claimOf(Wish wish, String holder) {
+        long now = time.epochMillis();
+        long runsUntil = now + wish.deadline().remaining(time).toMillis() + RUN_MARGIN_MILLIS;
+        return new Claim(
+                wish.key(), holder, wish.fingerprint(), new ClaimState.Running(), runsUntil, now + wish.memoryMillis());
+    }
+
+    private ClaimRound.Decision vote(ClaimGroup group, Claim claim, Deadline deadline) throws InterruptedException {
+        Deadline voteDeadline = deadline.earlier(Deadline.after(time, VOTE_TIMEOUT));
+        BlockingQueue<Vote> votes = new LinkedBlockingQueue<>();
+        ClaimVoteRequest request = new ClaimVoteRequest(group.index(), group.epoch(), claim);
+        for (String replica : group.replicas()) {
+            replicas.ask(replica, request, voteDeadline).handle((reply, failure) -> votes.add(voteOf(reply)));
+        }
+        ClaimRound round = new ClaimRound(group);
+        while (true) {
+            Optional<ClaimRound.Decision> decision = round.count(votes.take());
+            if (decision.isPresent()) {
+                return decision.get();
+            }
+        }
+    }
+
+    private static Vote voteOf(PeerReply reply) {
+        return reply instanceof PeerReply.Voted voted ? voted.vote() : new Vote.Silent();
+    }
+
+    private void releaseAt(ClaimGroup group, ClaimTicket ticket) {
+        tell(group, new ClaimReleaseRequest(group.index(), ticket.key(), ticket.holder()));
+    }
+
+    private void tell(ClaimGroup group, PeerRequest request) {
+        Deadline deadline = Deadline.after(time, SETTLE_TIMEOUT);
+        for (String replica : group.replicas()) {
+            replicas.ask(replica, request, deadline);
+        }
+    }
+
+    private void pause(Deadline deadline) throws InterruptedException {
+        long pause = LEAST_PAUSE_MILLIS + random.nextLong(PAUSE_SPREAD_MILLIS);
+        long remaining = deadline.remainingNanos(time.nanos()) / NANOS_PER_MILLI;
+        Thread.sleep(Math.clamp(pause, 0, Math.max(0, remaining)));
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/replication/FleetView.java
@@ -0,0 +1,50 @@
+package io.anvilpick.replication;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.anvilpick.claims.GroupPlanner;
+import io.anvilpick.claims.ReplicaCandidate;
+import io.anvilpick.hash.Rendezvous;
+import io.anvilpick.membership.Liveness;
+import io.anvilpick.membership.Member;
+import io.anvilpick.membership.MemberTable;
+import java.util.Optional;
+
+/** The daemons of a region as the planner of claim groups sees them. */
+final class FleetView {
+    private static final String MOVER_SUBJECT = "mover of claim groups";
+
+    private FleetView() {}
+
+    static GroupPlanner.Fleet of(MemberTable members, String region) {
+        ImmutableList.Builder<ReplicaCandidate> candidates = ImmutableList.builder();
+        ImmutableSet.Builder<String> reachable = ImmutableSet.builder();
+        ImmutableSet.Builder<String> gone = ImmutableSet.builder();
+        for (MemberTable.Known known : members.all()) {
+            Member member = known.member();
+            if (!member.region().equals(region)) {
+                continue;
+            }
+            switch (known.liveness()) {
+                case LIVE -> {
+                    candidates.add(new ReplicaCandidate(member.instance(), member.zone()));
+                    reachable.add(member.instance());
+                }
+                case LEAVING -> reachable.add(member.instance());
+                case SUSPECT -> {}
+                case GONE -> gone.add(member.instance());
+            }
+        }
+        return new GroupPlanner.Fleet(candidates.build(), reachable.build(), gone.build());
+    }
+
+    /** Returns the one daemon of the region that moves groups, as this daemon sees it. */
+    static Optional<String> mover(MemberTable members, String region) {
+        ImmutableList<String> live = members.withLiveness(ImmutableSet.of(Liveness.LIVE)).stream()
+                .filter(member -> member.region().equals(region))
+                .map(Member::instance)
+                .collect(ImmutableList.toImmutableList());
+        return Rendezvous.ranked(MOVER_SUBJECT, live, instance -> instance).stream()
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/replication/ReplicaCaller.java
@@ -0,0 +1,39 @@
+package io.anvilpick.replication;
+
+import io.anvilpick.membership.MemberTable;
+import io.anvilpick.messages.PeerException;
+import io.anvilpick.messages.PeerHandler;
+import io.anvilpick.messages.PeerReply;
+import io.anvilpick.messages.PeerRequest;
+import io.anvilpick.messages.Peers;
+import io.anvilpick.time.Deadline;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Asks daemons by instance, this one without a detour over the network. Thread safe. */
+public final class ReplicaCaller {
+    private final String self;
+    private final MemberTable members;
+    private final Peers peers;
+    private final PeerHandler local;
+
+    /** Creates a caller for the daemon instance {@code self}, whose own requests go to {@code local}. */
+    public ReplicaCaller(String self, MemberTable members, Peers peers, PeerHandler local) {
+        this.self = self;
+        this.members = members;
+        this.peers = peers;
+        this.local = local;
+    }
+
+    /** Sends {@code request} to {@code instance}; completes with a {@link PeerException} if it cannot be reached. */
+    public CompletableFuture<PeerReply> ask(String instance, PeerRequest request, Deadline deadline) {
+        if (instance.equals(self)) {
+            return CompletableFuture.completedFuture(local.handle(request));
+        }
+        Optional<MemberTable.Known> known = members.find(instance);
+        if (known.isEmpty()) {
+            return CompletableFuture.failedFuture(new PeerException("instance " + instance + " is not known", false));
+        }
+        return peers.ask(known.get().member().peerAddress(), request, deadline);
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/replication/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Claiming keys at replicas on other daemons, and moving groups of claims between daemons.
+ */
+@NullMarked
+package io.anvilpick.replication;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/Dispatcher.java
@@ -0,0 +1,411 @@
+package io.anvilpick.routing;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import io.anvilpick.config.Configuration;
+import io.anvilpick.config.RequestConfig;
+import io.anvilpick.config.ServiceConfig;
+import io.anvilpick.config.TargetConfig;
+import io.anvilpick.error.ErrorKind;
+import io.anvilpick.limits.ShareBudget;
+import io.anvilpick.time.TimeSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses a target for each call of one service. Thread safe; each dispatcher is one shard under its own lock, and no
+ * method blocks or calls out while holding it.
+ *
+ * <p>The caller of this class carries out what it decides: it sends assigned calls and reports how each ended; while a
+ * call waits, it calls {@link #dispatch} now and then, and {@link #cancel} once the call's deadline has passed.
+ */
+public final class Dispatcher {
+    private static final int RETRY_PERCENT = 10;
+    private static final int RETRY_RESERVE = 10;
+    private static final int HEDGE_PERCENT = 5;
+    private static final int HEDGE_RESERVE = 5;
+    private static final int MOST_EJECTED_PERCENT = 50;
+    private static final int PERCENT = 100;
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final TimeSource time;
+    private final TargetPicker picker;
+    private final TargetPolicy policy;
+    private final ShareBudget retries = ShareBudget.ofPercent(RETRY_PERCENT, RETRY_RESERVE);
+    private final ShareBudget hedges = ShareBudget.ofPercent(HEDGE_PERCENT, HEDGE_RESERVE);
+    private final WaitingCalls waiting = new WaitingCalls();
+    private final Map<String, ClassBaseline> baselines = new HashMap<>();
+    private Map<String, TargetState> targets = new LinkedHashMap<>();
+    private Set<String> leavingAddresses = Set.of();
+    private @Nullable Configuration configuration;
+    private long nextAssignmentId;
+
+    private Dispatcher(Builder builder) {
+        this.time = checkNotNull(builder.time, "time");
+        this.policy = builder.policy;
+        this.picker = new TargetPicker(policy, checkNotNull(builder.random, "random"));
+    }
+
+    /** Returns a builder. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Puts {@code service} of {@code whole} in force; calls in flight and what was learnt stay. */
+    public void configure(ServiceConfig service, Configuration whole) {
+        lock.lock();
+        try {
+            boolean first = configuration == null;
+            configuration = whole;
+            long now = time.nanos();
+            Map<String, TargetState> next = new LinkedHashMap<>();
+            for (TargetConfig target : service.targets()) {
+                TargetState known = targets.get(target.id());
+                boolean same = known != null && known.config().address().equals(target.address());
+                next.put(
+                        target.id(),
+                        same
+                                ? known.reconfigured(target, service.slotsPerTarget(), now)
+                                : new TargetState(target, service.slotsPerTarget(), first, now));
+            }
+            targets = next;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Notes which hosts or addresses the platform lists as leaving; their targets get no new calls. */
+    public void noteLeaving(Set<String> addresses) {
+        lock.lock();
+        try {
+            leavingAddresses = Set.copyOf(addresses);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Takes a new call. */
+    public Admission submit(Call call) {
+        lock.lock();
+        try {
+            long now = time.nanos();
+            if (call.deadline().remainingNanos(now) <= 0) {
+                return new Admission.Refused(ErrorKind.DEADLINE_BEFORE_SEND);
+            }
+            if (targets.isEmpty()) {
+                return new Admission.Refused(ErrorKind.NO_TARGET);
+            }
+            retries.earn();
+            hedges.earn();
+            if (waiting.size() == 0) {
+                TargetState target = pick(call, now, 0);
+                if (target != null) {
+                    return new Admission.Assigned(assign(call, target, now));
+                }
+            }
+            return hold(call, now);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Takes a call again whose earlier assignment certainly did not run it, or which is idempotent.
+     *
+     * @param failed targets that it has been sent to already
+     */
+    public Admission retry(Call call, Set<String> failed) {
+        lock.lock();
+        try {
+            long now = time.nanos();
+            if (call.deadline().remainingNanos(now) <= 0) {
+                return new Admission.Refused(ErrorKind.DEADLINE_BEFORE_SEND);
+            }
+            if (!retries.tryTake()) {
+                return new Admission.Refused(ErrorKind.OVERLOADED);
+            }
+            TargetState target = picker.pick(candidates(now, failed), now, baselineNanos(call.request()), 0);
+            if (target != null) {
+                return new Admission.Assigned(assign(call, target, now));
+            }
+            return hold(call, now);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Notes how {@code assignment} ended, and returns the waiting calls that may go now. */
+    public Dispatch finish(Assignment assignment, CallResult result) {
+        lock.lock();
+        try {
+            long now = time.nanos();
+            TargetState target = targets.get(assignment.target().id());
+            if (target != null && target.finish(assignment)) {
+                apply(target, assignment, result, now);
+            }
+            return drain(now);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the waiting calls that may go now, and those whose time is over. */
+    public Dispatch dispatch() {
+        lock.lock();
+        try {
+            return drain(time.nanos());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Takes {@code call} out of the queue; returns false if it does not wait. */
+    public boolean cancel(Call call) {
+        lock.lock();
+        try {
+            return waiting.remove(call);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the nanoseconds after which an unanswered call of {@code request} may be hedged; zero if unknown yet. */
+    public long hedgeDelayNanos(RequestConfig request) {
+        lock.lock();
+        try {
+            return baseline(request).hedgeDelayNanos();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns a second assignment for an idempotent call that is late at {@code first}, if budget and slots allow. */
+    public Optional<Assignment> hedge(Assignment first) {
+        lock.lock();
+        try {
+            long now = time.nanos();
+            Call call = first.call();
+            boolean allowed = call.request().idempotent()
+                    && policy.holdsCalls()
+                    && waiting.size() == 0
+                    && call.deadline().remainingNanos(now) > 0;
+            if (!allowed) {
+                return Optional.empty();
+            }
+            TargetState target =
+                    picker.pick(candidates(now, Set.of(first.target().id())), now, baselineNanos(call.request()), 0);
+            if (target == null || !hedges.tryTake()) {
+                return Optional.empty();
+            }
+            return Optional.of(assign(call, target, now));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the calls that wait for a slot. */
+    public int waitingCalls() {
+        lock.lock();
+        try {
+            return waiting.size();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns what is known of each target. */
+    public ImmutableList<TargetView> targets() {
+        lock.lock();
+        try {
+            long now = time.nanos();
+            ImmutableList.Builder<TargetView> views = ImmutableList.builder();
+            for (TargetState target : targets.values()) {
+                views.add(new TargetView(
+                        target.config().id(),
+                        target.inFlight(),
+                        target.limit(),
+                        target.score(now, 0),
+                        target.mayServe(now)));
+            }
+            return views.build();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private Admission hold(Call call, long now) {
+        int weight = configuration == null ? 1 : configuration.weightOf(call.tenant());
+        double ahead = waiting.aheadOf(call.tenant(), weight);
+        if (expectedWaitNanos(call, ahead, now) > call.deadline().remainingNanos(now)) {
+            return new Admission.Refused(ErrorKind.OVERLOADED);
+        }
+        waiting.add(call, weight);
+        return new Admission.Waiting();
+    }
+
+    /** Returns the time until an answer for a call with {@code ahead} calls before it, as the baseline has it. */
+    private double expectedWaitNanos(Call call, double ahead, long now) {
+        long baseline = baselineNanos(call.request());
+        int slots = 0;
+        for (TargetState target : targets.values()) {
+            slots += target.mayServe(now) ? target.limit() : 0;
+        }
+        return baseline * (ahead / Math.max(1, slots) + 1);
+    }
+
+    private Dispatch drain(long now) {
+        if (waiting.size() == 0) {
+            return new Dispatch(ImmutableList.of(), ImmutableList.of());
+        }
+        ImmutableList.Builder<Assignment> assigned = ImmutableList.builder();
+        ImmutableList.Builder<Call> expired = ImmutableList.builder();
+        while (true) {
+            Optional<Call> next = waiting.next();
+            if (next.isEmpty()) {
+                break;
+            }
+            Call call = next.get();
+            if (call.deadline().remainingNanos(now) < baselineNanos(call.request())) {
+                waiting.take(call);
+                expired.add(call);
+                continue;
+            }
+            TargetState target = pick(call, now, waiting.size());
+            if (target == null) {
+                break;
+            }
+            waiting.take(call);
+            assigned.add(assign(call, target, now));
+        }
+        return new Dispatch(assigned.build(), expired.build());
+    }
+
+    private @Nullable TargetState pick(Call call, long now, int queued) {
+        return picker.pick(candidates(now, Set.of()), now, baselineNanos(call.request()), queued);
+    }
+
+    /** Returns the targets that may serve; where none may, those that are at least not leaving, least bad first. */
+    private List<TargetState> candidates(long now, Set<String> excluded) {
+        List<TargetState> serving = new ArrayList<>(targets.size());
+        TargetState leastBad = null;
+        for (TargetState target : targets.values()) {
+            if (excluded.contains(target.config().id()) || isLeaving(target, now)) {
+                continue;
+            }
+            if (target.mayServe(now)) {
+                serving.add(target);
+                continue;
+            }
+            if (leastBad == null || target.triedAgainAtNanos(now) < leastBad.triedAgainAtNanos(now)) {
+                leastBad = target;
+            }
+        }
+        if (serving.isEmpty() && leastBad != null) {
+            serving.add(leastBad);
+        }
+        return serving;
+    }
+
+    private boolean isLeaving(TargetState target, long now) {
+        return target.isLeaving(now)
+                || leavingAddresses.contains(target.config().address())
+                || leavingAddresses.contains(target.config().host());
+    }
+
+    private Assignment assign(Call call, TargetState target, long now) {
+        Assignment assignment = new Assignment(nextAssignmentId++, call, target.config(), now);
+        target.start(assignment);
+        return assignment;
+    }
+
+    private void apply(TargetState target, Assignment assignment, CallResult result, long now) {
+        RequestConfig request = assignment.call().request();
+        long elapsed = now - assignment.startedNanos();
+        long before = baselineNanos(request);
+        switch (result) {
+            case CallResult.Answered answered -> {
+                if (answered.failed()) {
+                    target.onFailure(now, false, mayEjectMore());
+                } else {
+                    baseline(request).add(elapsed);
+                    target.onAnswer(now, elapsed, before, answered.reportedInFlight());
+                }
+                if (answered.leaving()) {
+                    target.onDraining(now);
+                }
+            }
+            case CallResult.Shed shed -> {
+                target.onShed();
+                target.onFailure(now, false, mayEjectMore());
+                if (shed.leaving()) {
+                    target.onDraining(now);
+                }
+            }
+            case CallResult.ConnectFailed ignored -> target.onFailure(now, true, true);
+            case CallResult.Lost ignored -> target.onFailure(now, true, true);
+            case CallResult.TimedOut ignored -> target.onSilence(now, elapsed, before);
+            case CallResult.Cancelled ignored -> target.onSilence(now, elapsed, before);
+        }
+    }
+
+    private boolean mayEjectMore() {
+        int ejected = 0;
+        for (TargetState target : targets.values()) {
+            ejected += target.isEjected() ? 1 : 0;
+        }
+        return (ejected + 1) * PERCENT <= targets.size() * MOST_EJECTED_PERCENT;
+    }
+
+    private ClassBaseline baseline(RequestConfig request) {
+        return baselines.computeIfAbsent(request.name(), name -> new ClassBaseline());
+    }
+
+    private long baselineNanos(RequestConfig request) {
+        return baseline(request).medianNanos();
+    }
+
+    /** Builds a {@link Dispatcher}. Not thread safe. */
+    public static final class Builder {
+        private @Nullable TimeSource time;
+        private @Nullable RandomGenerator random;
+        private TargetPolicy policy = new TargetPolicy.LateBinding();
+
+        private Builder() {}
+
+        /** Sets the source of time. */
+        public Builder time(TimeSource value) {
+            time = value;
+            return this;
+        }
+
+        /** Sets the source of randomness, which the dispatcher uses under its lock. */
+        public Builder random(RandomGenerator value) {
+            random = value;
+            return this;
+        }
+
+        /** Sets how targets are chosen. */
+        public Builder policy(TargetPolicy value) {
+            policy = value;
+            return this;
+        }
+
+        /**
+         * Returns the dispatcher.
+         *
+         * @throws NullPointerException if time or random were not set
+         */
+        public Dispatcher build() {
+            return new Dispatcher(this);
+        }
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/TargetPolicy.java
@@ -0,0 +1,24 @@
+package io.anvilpick.routing;
+
+/** How a dispatcher chooses among targets. All but {@link LateBinding} serve as baselines in benchmarks. */
+public sealed interface TargetPolicy {
+    /** Holds calls until a slot is free and picks the target that shows the least slowness. */
+    record LateBinding() implements TargetPolicy {}
+
+    /** Sends each call at once to a target drawn at random. */
+    record UniformRandom() implements TargetPolicy {}
+
+    /** Sends calls at once to each target in turn. */
+    record RoundRobin() implements TargetPolicy {}
+
+    /** Sends each call at once to the one of two random targets that reported the smaller load. */
+    record TwoChoices() implements TargetPolicy {}
+
+    /** Sends each call at once to the target with the fewest calls of this daemon in flight. */
+    record LeastInFlight() implements TargetPolicy {}
+
+    /** Returns whether calls wait in the daemon for a free slot. */
+    default boolean holdsCalls() {
+        return this instanceof LateBinding;
+    }
+}
--- /dev/null
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/Daemon.java
@@ -0,0 +1,229 @@
+package io.anvilpick.daemon;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedMap;
+import com.linecorp.armeria.client.ClientFactory;
+import io.anvilpick.calls.CallRunner;
+import io.anvilpick.calls.CrashGuard;
+import io.anvilpick.calls.DispatcherRegistry;
+import io.anvilpick.calls.Sender;
+import io.anvilpick.claims.ClaimMap;
+import io.anvilpick.claims.ClaimTable;
+import io.anvilpick.config.ConfigurationCodec;
+import io.anvilpick.config.ConfigurationStore;
+import io.anvilpick.config.InForce;
+import io.anvilpick.config.SnapshotAssembler;
+import io.anvilpick.crashes.CrashLedger;
+import io.anvilpick.daemon.control.ConfigWatch;
+import io.anvilpick.daemon.control.ControlLoops;
+import io.anvilpick.daemon.control.Gossip;
+import io.anvilpick.daemon.control.Knowledge;
+import io.anvilpick.daemon.control.MemberSample;
+import io.anvilpick.daemon.control.PeerService;
+import io.anvilpick.daemon.control.Registration;
+import io.anvilpick.daemon.front.HttpFront;
+import io.anvilpick.daemon.front.StatusPage;
+import io.anvilpick.daemon.metrics.CallMetrics;
+import io.anvilpick.daemon.target.HttpTargetClient;
+import io.anvilpick.membership.AddressAdvisor;
+import io.anvilpick.membership.Member;
+import io.anvilpick.membership.MemberTable;
+import io.anvilpick.peer.PeerClient;
+import io.anvilpick.peer.PeerServer;
+import io.anvilpick.platform.http.HttpPlatform;
+import io.anvilpick.replication.ClaimMapStore;
+import io.anvilpick.replication.ClaimMaps;
+import io.anvilpick.replication.Claimer;
+import io.anvilpick.replication.GroupMover;
+import io.anvilpick.replication.ReplicaCaller;
+import io.anvilpick.routing.Dispatcher;
+import io.anvilpick.routing.TargetView;
+import io.anvilpick.time.TimeSource;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.jboss.logging.Logger;
+
+/** A running daemon: every part, put together. */
+public final class Daemon {
+    private static final Logger LOG = Logger.getLogger(Daemon.class);
+    private static final int PEER_THREADS = 2;
+    private static final long MOST_BODY_BYTES = 8L * 1024 * 1024;
+    private static final Duration HANDOVER_POLL = Duration.ofMillis(100);
+
+    private final DaemonSettings settings;
+    private final TimeSource time = TimeSource.system();
+    private final SecureRandom random = new SecureRandom();
+    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+    private final EventLoopGroup peerThreads = new MultiThreadIoEventLoopGroup(PEER_THREADS, NioIoHandler.newFactory());
+    private final ClientFactory clients = ClientFactory.builder().build();
+    private final ConfigurationCodec codec = new ConfigurationCodec();
+    private final InForce inForce = new InForce();
+    private final CallMetrics metrics = new CallMetrics(inForce);
+    private final DispatcherRegistry dispatchers = new DispatcherRegistry(this::newDispatcher);
+    private final MemberTable members;
+    private final Member self;
+    private final Knowledge knowledge;
+    private final PeerServer peerServer;
+    private final PeerClient peerClient;
+    private final Gossip gossip;
+    private final ControlLoops loops;
+    private final HttpFront front;
+
+    private Daemon(DaemonSettings settings) throws InterruptedException {
+        this.settings = settings;
+        // The port towards peers is part of the daemon's description, so its server is bound before the rest is made.
+        PeerServiceHolder late = new PeerServiceHolder();
+        this.peerServer =
+                PeerServer.listen(peerThreads, new InetSocketAddress(settings.host(), settings.peerPort()), late);
+        this.peerClient = new PeerClient(peerThreads, time);
+        this.self = describeSelf();
+        this.members = new MemberTable(self, time);
+        ClaimTable claimTable = new ClaimTable(self.instance(), ClaimMap.GROUPS, time);
+        ClaimMaps claimMaps = new ClaimMaps(claimTable);
+        this.knowledge = new Knowledge(inForce, claimMaps, members, dispatchers);
+        MemberSample sample = new MemberSample(members, random);
+        PeerService peerService = new PeerService(knowledge, claimTable, sample);
+        late.serve(peerService);
+        this.gossip = new Gossip(new Gossip.Parts(
+                knowledge, sample, peerClient, new SnapshotAssembler(codec), threads, time, random, settings.seeds()));
+        peerService.onNewsFrom(gossip::fetchNewsFrom);
+        ReplicaCaller replicas = new ReplicaCaller(self.instance(), members, peerClient, peerService);
+        Claimer claimer = new Claimer(claimMaps, replicas, time, random);
+        HttpTargetClient targets = new HttpTargetClient(clients, MOST_BODY_BYTES, time, threads);
+        CrashGuard crashes = new CrashGuard(new CrashLedger(time), claimer, targets, gossip::broadcast, time);
+        peerService.tellCrashesTo(crashes);
+        Sender sender = new Sender(targets, crashes, metrics, time);
+        CallRunner runner =
+                new CallRunner(new CallRunner.Parts(inForce, dispatchers, sender, claimer, crashes, metrics, time));
+        this.front = new HttpFront(new HttpFront.Parts(
+                new InetSocketAddress(settings.host(), settings.callPort()),
+                MOST_BODY_BYTES,
+                runner,
+                inForce,
+                new AddressAdvisor(members, random),
+                threads,
+                time,
+                this::status,
+                metrics::scrape));
+        addGauges();
+        this.loops = startLoops(claimTable, claimMaps, replicas);
+    }
+
+    /** Returns a daemon that serves, blocking until it listens. */
+    public static Daemon start(DaemonSettings settings) throws InterruptedException {
+        Daemon daemon = new Daemon(settings);
+        daemon.front.start();
+        LOG.infof(
+                "event=daemon_started instance=%s calls=%s peers=%s region=%s zone=%s",
+                daemon.self.instance(),
+                daemon.self.callAddress(),
+                daemon.self.peerAddress(),
+                settings.region(),
+                settings.zone());
+        return daemon;
+    }
+
+    /**
+     * Shuts down without cutting a call: leaves the answers to callers, hands over the claims it holds, serves callers
+     * who keep its address, and ends once no call is in flight.
+     */
+    public void shutDown() throws InterruptedException {
+        long startNanos = time.nanos();
+        LOG.infof("event=daemon_leaving instance=%s", self.instance());
+        members.leave();
+        front.leave();
+        gossip.broadcastOwnState();
+        long serveUntil = startNanos + Duration.ofMillis(settings.drainMillis()).toNanos();
+        while (time.nanos() - serveUntil < 0) {
+            Thread.sleep(HANDOVER_POLL);
+        }
+        boolean handedOver = !holdsClaims();
+        front.close();
+        loops.close();
+        LOG.infof(
+                "event=daemon_stopped instance=%s claims_handed_over=%s millis=%d",
+                self.instance(),
+                handedOver,
+                Duration.ofNanos(time.nanos() - startNanos).toMillis());
+        peerServer.close();
+        peerClient.close();
+    }
+
+    private boolean holdsClaims() {
+        return knowledge.claimMaps().current().groups().stream()
+                .anyMatch(group -> group.replicas().contains(self.instance()));
+    }
+
+    private Member describeSelf() {
+        String peerAddress = settings.advertisedPeer().isEmpty()
+                ? settings.host() + ":" + peerServer.port()
+                : settings.advertisedPeer();
+        String callAddress = settings.host() + ":" + settings.callPort();
+        String instance = callAddress + "#" + Long.toHexString(random.nextLong() & 0xffffffffL);
+        return new Member(
+                instance, callAddress, peerAddress, settings.region(), settings.zone(), false, time.epochMillis());
+    }
+
+    private Dispatcher newDispatcher() {
+        return Dispatcher.builder()
+                .time(time)
+                .random(new SplittableRandom(random.nextLong()))
+                .policy(settings.policy())
+                .build();
+    }
+
+    private ControlLoops startLoops(ClaimTable claimTable, ClaimMaps claimMaps, ReplicaCaller replicas) {
+        HttpPlatform platform = HttpPlatform.at(settings.platform(), clients, time);
+        ConfigWatch watch = new ConfigWatch(knowledge, platform, new ConfigurationStore(platform, codec), gossip, time);
+        GroupMover mover = GroupMover.builder(self.instance(), settings.region())
+                .members(members)
+                .maps(claimMaps)
+                .store(new ClaimMapStore(platform, codec, settings.region()))
+                .replicas(replicas)
+                .time(time)
+                .random(random)
+                .build();
+        return ControlLoops.start(
+                new ControlLoops.Parts(gossip, watch, new Registration(platform, members), mover, claimTable), random);
+    }
+
+    private void addGauges() {
+        metrics.gauge("config_version", inForce::version);
+        metrics.gauge("claim_map_version", () -> knowledge.claimMaps().current().version());
+        metrics.gauge("members", () -> members.all().size());
+        metrics.gauge(
+                "calls_waiting",
+                () -> dispatchers.all().values().stream()
+                        .mapToInt(Dispatcher::waitingCalls)
+                        .sum());
+    }
+
+    private StatusPage status() {
+        ImmutableList.Builder<StatusPage.MemberLine> lines = ImmutableList.builder();
+        for (MemberTable.Known known : members.all()) {
+            lines.add(new StatusPage.MemberLine(
+                    known.member().instance(),
+                    known.member().callAddress(),
+                    known.member().zone(),
+                    known.liveness().name().toLowerCase(Locale.ROOT)));
+        }
+        ImmutableSortedMap.Builder<String, ImmutableList<TargetView>> services = ImmutableSortedMap.naturalOrder();
+        dispatchers.all().forEach((name, dispatcher) -> services.put(name, dispatcher.targets()));
+        return new StatusPage(
+                self.instance(),
+                settings.zone(),
+                members.own().map(Member::leaving).orElse(false),
+                inForce.version(),
+                knowledge.claimMaps().current().version(),
+                lines.build(),
+                services.build());
+    }
+}
--- /dev/null
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/DaemonMain.java
@@ -0,0 +1,128 @@
+package io.anvilpick.daemon;
+
+import com.github.rvesse.airline.HelpOption;
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import io.anvilpick.routing.TargetPolicy;
+import io.anvilpick.settings.ExitCode;
+import io.anvilpick.settings.SettingsReader;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+
+/** The program {@code anvilpickd}. */
+@Command(name = "anvilpickd", description = "Serves callers on an entry VM. Every flag is also an ANVILPICK_ variable.")
+public final class DaemonMain {
+    private static final Logger LOG = Logger.getLogger(DaemonMain.class);
+    private static final int DEFAULT_CALL_PORT = 8080;
+    private static final int DEFAULT_PEER_PORT = 7080;
+    private static final int DEFAULT_DRAIN_MILLIS = 8_000;
+    private static final int MOST_DRAIN_MILLIS = 600_000;
+
+    @AirlineModule
+    private HelpOption<DaemonMain> help;
+
+    @Option(name = "--version", description = "Print the version and exit")
+    private boolean version;
+
+    @Option(name = "--host", description = "IP number to listen at (default 127.0.0.1)")
+    private @Nullable String host;
+
+    @Option(name = "--call-port", description = "Port towards callers (default 8080)")
+    private @Nullable String callPort;
+
+    @Option(name = "--peer-port", description = "Port towards other daemons (default 7080)")
+    private @Nullable String peerPort;
+
+    @Option(name = "--advertised-peer", description = "Host and port where other daemons reach this one")
+    private @Nullable String advertisedPeer;
+
+    @Option(name = "--region", description = "Region of this VM")
+    private @Nullable String region;
+
+    @Option(name = "--zone", description = "Availability zone of this VM")
+    private @Nullable String zone;
+
+    @Option(name = "--platform", description = "Host and port of the platform's key-value service")
+    private @Nullable String platform;
+
+    @Option(name = "--seeds", description = "Peer addresses to start from while the platform is down, with commas")
+    private @Nullable String seeds;
+
+    @Option(name = "--drain-ms", description = "Milliseconds to go on serving after SIGTERM (default 8000)")
+    private @Nullable String drainMillis;
+
+    @Option(name = "--policy", description = "Baseline policy for benchmarks", hidden = true)
+    private @Nullable String policy;
+
+    /** Runs the program. */
+    public static void main(String[] args) throws InterruptedException {
+        try {
+            ExitCode code =
+                    SingleCommand.singleCommand(DaemonMain.class).parse(args).run();
+            if (code != ExitCode.OK) {
+                System.exit(code.code());
+            }
+        } catch (ParseException e) {
+            System.err.println("anvilpickd: " + e.getMessage());
+            System.exit(ExitCode.USAGE.code());
+        }
+    }
+
+    private ExitCode run() throws InterruptedException {
+        if (help.showHelpIfRequested()) {
+            return ExitCode.OK;
+        }
+        if (version) {
+            System.out.println("anvilpickd " + Version.number());
+            return ExitCode.OK;
+        }
+        SettingsReader reader = new SettingsReader(System.getenv());
+        DaemonSettings settings = read(reader);
+        if (!reader.faults().isEmpty()) {
+            reader.faults().forEach(fault -> System.err.println("anvilpickd: " + fault));
+            return ExitCode.USAGE;
+        }
+        Daemon daemon = Daemon.start(settings);
+        Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().unstarted(() -> shutDown(daemon)));
+        Thread.currentThread().join();
+        return ExitCode.OK;
+    }
+
+    /** The exit code of a process that ends by SIGTERM is not zero unless the hook itself ends it. */
+    private static void shutDown(Daemon daemon) {
+        try {
+            daemon.shutDown();
+            Runtime.getRuntime().halt(ExitCode.OK.code());
+        } catch (InterruptedException | RuntimeException e) {
+            LOG.errorf(e, "event=shutdown_failed");
+            Runtime.getRuntime().halt(ExitCode.SOFTWARE.code());
+        }
+    }
+
+    private DaemonSettings read(SettingsReader reader) {
+        return new DaemonSettings(
+                reader.text("--host", host, "127.0.0.1"),
+                reader.port("--call-port", callPort, DEFAULT_CALL_PORT),
+                reader.port("--peer-port", peerPort, DEFAULT_PEER_PORT),
+                reader.text("--advertised-peer", advertisedPeer, ""),
+                reader.text("--region", region),
+                reader.text("--zone", zone),
+                reader.address("--platform", platform),
+                reader.addresses("--seeds", seeds),
+                policyOf(reader.text("--policy", policy, "late-binding")),
+                reader.wholeNumber("--drain-ms", drainMillis, 0, MOST_DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS));
+    }
+
+    private static TargetPolicy policyOf(String name) {
+        return switch (name) {
+            case "random" -> new TargetPolicy.UniformRandom();
+            case "round-robin" -> new TargetPolicy.RoundRobin();
+            case "two-choices" -> new TargetPolicy.TwoChoices();
+            case "least-in-flight" -> new TargetPolicy.LeastInFlight();
+            default -> new TargetPolicy.LateBinding();
+        };
+    }
+}
--- /dev/null
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/Knowledge.java
@@ -0,0 +1,63 @@
+package io.anvilpick.daemon.control;
+
+import io.anvilpick.calls.DispatcherRegistry;
+import io.anvilpick.config.InForce;
+import io.anvilpick.membership.LeavingList;
+import io.anvilpick.membership.MemberTable;
+import io.anvilpick.replication.ClaimMaps;
+import java.util.concurrent.locks.ReentrantLock;
+
+/** All that this daemon knows and passes on: configuration, claim map, members, and VMs that leave. Thread safe. */
+public final class Knowledge {
+    private final ReentrantLock lock = new ReentrantLock();
+    private final InForce inForce;
+    private final ClaimMaps claimMaps;
+    private final MemberTable members;
+    private final DispatcherRegistry dispatchers;
+    private volatile LeavingList leaving = LeavingList.NONE;
+
+    /** Creates a holder of what the given parts know. */
+    public Knowledge(InForce inForce, ClaimMaps claimMaps, MemberTable members, DispatcherRegistry dispatchers) {
+        this.inForce = inForce;
+        this.claimMaps = claimMaps;
+        this.members = members;
+        this.dispatchers = dispatchers;
+    }
+
+    /** Returns the configuration in force. */
+    public InForce inForce() {
+        return inForce;
+    }
+
+    /** Returns the claim map known. */
+    public ClaimMaps claimMaps() {
+        return claimMaps;
+    }
+
+    /** Returns the members known. */
+    public MemberTable members() {
+        return members;
+    }
+
+    /** Returns the latest list of VMs that leave. */
+    public LeavingList leaving() {
+        return leaving;
+    }
+
+    /** Takes up {@code list} if it is later than the one known. */
+    public void offerLeaving(LeavingList list) {
+        lock.lock();
+        try {
+            if (list.asOfMillis() <= leaving.asOfMillis()) {
+                return;
+            }
+            boolean changed = !list.addresses().equals(leaving.addresses());
+            leaving = list;
+            if (changed) {
+                dispatchers.noteLeaving(list.addresses());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/PeerService.java
@@ -0,0 +1,150 @@
+package io.anvilpick.daemon.control;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.anvilpick.calls.CrashGuard;
+import io.anvilpick.claims.ClaimMap;
+import io.anvilpick.claims.ClaimTable;
+import io.anvilpick.config.SignedHead;
+import io.anvilpick.config.Snapshot;
+import io.anvilpick.membership.LeavingList;
+import io.anvilpick.membership.Member;
+import io.anvilpick.messages.AcquitRequest;
+import io.anvilpick.messages.ClaimReleaseRequest;
+import io.anvilpick.messages.ClaimSettleRequest;
+import io.anvilpick.messages.ClaimVoteRequest;
+import io.anvilpick.messages.CrashRequest;
+import io.anvilpick.messages.GossipRequest;
+import io.anvilpick.messages.InstallRequest;
+import io.anvilpick.messages.PartsRequest;
+import io.anvilpick.messages.PeerHandler;
+import io.anvilpick.messages.PeerReply;
+import io.anvilpick.messages.PeerRequest;
+import io.anvilpick.messages.SealRequest;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Answers other daemons, and this one's own requests to itself. Thread safe; never blocks. */
+public final class PeerService implements PeerHandler {
+    private final Knowledge knowledge;
+    private final ClaimTable claims;
+    private final MemberSample sample;
+    private volatile Consumer<Member> onNewsFrom = member -> {};
+    private volatile Optional<CrashGuard> crashes = Optional.empty();
+
+    /** Creates a service that answers from what the daemon knows and holds. */
+    public PeerService(Knowledge knowledge, ClaimTable claims, MemberSample sample) {
+        this.knowledge = knowledge;
+        this.claims = claims;
+        this.sample = sample;
+    }
+
+    /** Sets who is told of a member that knows more than this daemon. */
+    public void onNewsFrom(Consumer<Member> listener) {
+        onNewsFrom = listener;
+    }
+
+    /** Sets who is told of crashes. */
+    public void tellCrashesTo(CrashGuard guard) {
+        crashes = Optional.of(guard);
+    }
+
+    @Override
+    public PeerReply handle(PeerRequest request) {
+        return switch (request) {
+            case ClaimVoteRequest vote -> vote(vote);
+            case ClaimSettleRequest settle -> settle(settle);
+            case ClaimReleaseRequest release -> release(release);
+            case SealRequest seal -> seal(seal);
+            case InstallRequest install -> install(install);
+            case GossipRequest gossip -> gossip(gossip);
+            case PartsRequest parts -> parts(parts);
+            case CrashRequest crash -> {
+                crashes.ifPresent(guard -> guard.hearCrash(crash.report()));
+                yield new PeerReply.Done();
+            }
+            case AcquitRequest acquit -> {
+                crashes.ifPresent(guard -> guard.hearAcquittal(acquit.fingerprint()));
+                yield new PeerReply.Done();
+            }
+        };
+    }
+
+    private PeerReply vote(ClaimVoteRequest vote) {
+        if (!isGroup(vote.group())) {
+            return new PeerReply.Rejected("group: " + vote.group() + " does not exist");
+        }
+        return new PeerReply.Voted(claims.vote(vote.group(), vote.epoch(), vote.claim()));
+    }
+
+    private PeerReply settle(ClaimSettleRequest settle) {
+        if (!isGroup(settle.group())) {
+            return new PeerReply.Rejected("group: " + settle.group() + " does not exist");
+        }
+        claims.settle(settle.group(), settle.key(), settle.holder(), settle.end());
+        return new PeerReply.Done();
+    }
+
+    private PeerReply release(ClaimReleaseRequest release) {
+        if (!isGroup(release.group())) {
+            return new PeerReply.Rejected("group: " + release.group() + " does not exist");
+        }
+        claims.release(release.group(), release.key(), release.holder());
+        return new PeerReply.Done();
+    }
+
+    private PeerReply seal(SealRequest seal) {
+        if (!isGroup(seal.group())) {
+            return new PeerReply.Rejected("group: " + seal.group() + " does not exist");
+        }
+        return new PeerReply.Sealed(claims.seal(seal.group(), seal.epoch()));
+    }
+
+    private PeerReply install(InstallRequest install) {
+        if (!isGroup(install.group())) {
+            return new PeerReply.Rejected("group: " + install.group() + " does not exist");
+        }
+        return new PeerReply.Installed(
+                claims.install(install.group(), install.epoch(), install.changeId(), install.claims()));
+    }
+
+    private PeerReply gossip(GossipRequest gossip) {
+        gossip.members().forEach(knowledge.members()::merge);
+        long version = knowledge.inForce().version();
+        ClaimMap map = knowledge.claimMaps().current();
+        LeavingList leaving = knowledge.leaving();
+        boolean senderKnowsMore = gossip.configVersion() > version || gossip.claimMapVersion() > map.version();
+        if (senderKnowsMore && !gossip.members().isEmpty()) {
+            onNewsFrom.accept(gossip.members().get(0));
+        }
+        Optional<SignedHead> head = knowledge
+                .inForce()
+                .snapshot()
+                .filter(mine -> mine.head().version() > gossip.configVersion())
+                .map(Snapshot::signed);
+        Optional<ClaimMap> newerMap = Optional.of(map).filter(mine -> mine.version() > gossip.claimMapVersion());
+        Optional<LeavingList> newerLeaving =
+                Optional.of(leaving).filter(mine -> mine.asOfMillis() > gossip.leavingAsOfMillis());
+        ImmutableList<Member> members = sample.members();
+        return new PeerReply.Gossip(head, newerMap, newerLeaving, version, map.version(), members);
+    }
+
+    private PeerReply parts(PartsRequest request) {
+        ImmutableMap.Builder<String, String> found = ImmutableMap.builder();
+        Optional<Snapshot> snapshot = knowledge.inForce().snapshot();
+        if (snapshot.isEmpty()) {
+            return new PeerReply.Parts(ImmutableMap.of());
+        }
+        for (String digest : request.digests()) {
+            String text = snapshot.get().parts().get(digest);
+            if (text != null) {
+                found.put(digest, text);
+            }
+        }
+        return new PeerReply.Parts(found.buildOrThrow());
+    }
+
+    private static boolean isGroup(int index) {
+        return index >= 0 && index < ClaimMap.GROUPS;
+    }
+}
--- /dev/null
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/front/package-info.java
@@ -0,0 +1,5 @@
+/** The front end towards callers: HTTP in, calls to the core, answers out. */
+@NullMarked
+package io.anvilpick.daemon.front;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerConnection.java
@@ -0,0 +1,167 @@
+package io.anvilpick.peer;
+
+import com.google.common.net.HostAndPort;
+import io.anvilpick.messages.PeerException;
+import io.anvilpick.messages.PeerReply;
+import io.anvilpick.messages.PeerRequest;
+import io.anvilpick.peer.wire.PeerProto;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * One connection to another daemon. Thread safe; the replies awaited are guarded by the connection's own lock.
+ *
+ * <p>Requests go out in the order of {@link #ask}, which the release of a claim after its vote relies on.
+ */
+final class PeerConnection {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Map<Long, CompletableFuture<PeerReply>> awaited = new HashMap<>();
+    private final AtomicLong nextRequestId = new AtomicLong();
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private final ChannelFuture connecting;
+
+    private PeerConnection(EventLoopGroup group, HostAndPort address) {
+        connecting = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel connection) {
+                        Frames.addTo(connection.pipeline());
+                        connection.pipeline().addLast(new ReplyHandler());
+                    }
+                })
+                .connect(address.getHost(), address.getPort());
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                fail(new PeerException(
+                        "no connection to " + address,
+                        done.cause() instanceof ConnectException refused
+                                && String.valueOf(refused.getMessage()).contains("refused")));
+            }
+        });
+    }
+
+    /** Returns a connection that is being made. */
+    static PeerConnection open(EventLoopGroup group, HostAndPort address) {
+        return new PeerConnection(group, address);
+    }
+
+    boolean isClosed() {
+        return closed.get();
+    }
+
+    /** Sends {@code request} once the connection stands. */
+    CompletableFuture<PeerReply> ask(PeerRequest request) {
+        long requestId = nextRequestId.incrementAndGet();
+        CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+        lock.lock();
+        try {
+            if (closed.get()) {
+                reply.completeExceptionally(new PeerException("connection lost", false));
+                return reply;
+            }
+            awaited.put(requestId, reply);
+            send(PeerCodec.encode(requestId, request));
+        } finally {
+            lock.unlock();
+        }
+        reply.whenComplete((result, failure) -> forget(requestId));
+        return reply;
+    }
+
+    void close() {
+        fail(new PeerException("connection closed", false));
+        connecting.channel().close();
+    }
+
+    /** Runs under the lock, so that the order of requests is the order of frames. */
+    private void send(PeerProto.Envelope envelope) {
+        Channel channel = connecting.channel();
+        if (connecting.isSuccess()) {
+            channel.writeAndFlush(envelope, channel.voidPromise());
+            return;
+        }
+        connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                channel.writeAndFlush(envelope, channel.voidPromise());
+            }
+        });
+    }
+
+    private void forget(long requestId) {
+        lock.lock();
+        try {
+            awaited.remove(requestId);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void complete(PeerProto.Envelope envelope) {
+        CompletableFuture<PeerReply> reply;
+        lock.lock();
+        try {
+            reply = awaited.remove(envelope.getRequestId());
+        } finally {
+            lock.unlock();
+        }
+        if (reply == null) {
+            return;
+        }
+        PeerCodec.decodeReply(envelope)
+                .ifPresentOrElse(
+                        reply::complete,
+                        () -> reply.completeExceptionally(new PeerException("body: is not a reply", false)));
+    }
+
+    private void fail(PeerException failure) {
+        Map<Long, CompletableFuture<PeerReply>> lost;
+        lock.lock();
+        try {
+            closed.set(true);
+            lost = new HashMap<>(awaited);
+            awaited.clear();
+        } finally {
+            lock.unlock();
+        }
+        lost.values().forEach(reply -> reply.completeExceptionally(failure));
+    }
+
+    /** Hands replies to those who await them. */
+    private final class ReplyHandler extends SimpleChannelInboundHandler<PeerProto.Envelope> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, PeerProto.Envelope envelope) {
+            complete(envelope);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            fail(new PeerException("connection lost", false));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/anvilpick-standins/src/main/java/io/anvilpick/standins/StandInProgram.java
@@ -0,0 +1,34 @@
+package io.anvilpick.standins;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import com.linecorp.armeria.server.Server;
+import io.anvilpick.settings.ExitCode;
+import io.anvilpick.settings.SettingsReader;
+import java.util.List;
+
+/** What the programs of the stand-ins share: flags, start, and a line that says where they listen. */
+abstract class StandInProgram {
+    /** Returns servers that are not started yet; faults of the settings are left with {@code settings}. */
+    abstract List<Server> create(SettingsReader settings);
+
+    static <T extends StandInProgram> void run(Class<T> program, String[] args) throws InterruptedException {
+        try {
+            SettingsReader settings = new SettingsReader(System.getenv());
+            List<Server> servers =
+                    SingleCommand.singleCommand(program).parse(args).create(settings);
+            if (!settings.faults().isEmpty()) {
+                settings.faults().forEach(System.err::println);
+                System.exit(ExitCode.USAGE.code());
+            }
+            for (Server server : servers) {
+                server.start().join();
+                System.out.println("listening port=" + server.activeLocalPort());
+            }
+            Thread.currentThread().join();
+        } catch (ParseException e) {
+            System.err.println(e.getMessage());
+            System.exit(ExitCode.USAGE.code());
+        }
+    }
+}
--- /dev/null
+++ b/anvilpick-standins/src/main/java/io/anvilpick/standins/platform/CallCounts.java
@@ -0,0 +1,63 @@
+package io.anvilpick.standins.platform;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Counts calls by kind, and refuses those beyond a rate. Thread safe. */
+final class CallCounts {
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final AtomicLong reads = new AtomicLong();
+    private final AtomicLong writes = new AtomicLong();
+    private final AtomicLong watches = new AtomicLong();
+    private final AtomicLong leases = new AtomicLong();
+    private final AtomicLong refused = new AtomicLong();
+    private long second;
+    private int readsInSecond;
+    private int writesInSecond;
+
+    /** Counts since the start. */
+    record Totals(long reads, long writes, long watches, long leases, long refused) {}
+
+    void countRead() {
+        reads.incrementAndGet();
+    }
+
+    void countWrite() {
+        writes.incrementAndGet();
+    }
+
+    void countWatch() {
+        watches.incrementAndGet();
+    }
+
+    void countLease() {
+        leases.incrementAndGet();
+    }
+
+    void countRefused() {
+        refused.incrementAndGet();
+    }
+
+    synchronized boolean takeRead(long nowMillis, int perSecond) {
+        roll(nowMillis);
+        return readsInSecond++ < perSecond;
+    }
+
+    synchronized boolean takeWrite(long nowMillis, int perSecond) {
+        roll(nowMillis);
+        return writesInSecond++ < perSecond;
+    }
+
+    Totals totals() {
+        return new Totals(reads.get(), writes.get(), watches.get(), leases.get(), refused.get());
+    }
+
+    private void roll(long nowMillis) {
+        long now = nowMillis / MILLIS_PER_SECOND;
+        if (now != second) {
+            second = now;
+            readsInSecond = 0;
+            writesInSecond = 0;
+        }
+    }
+}
