Tell a lasting straggler from a passing disturbance; bench of policies

Change: a target holds back calls only once it was found slow again and again; a usual answer forgets that twice as fast as a slow one builds it up; half-life 10 ms; hedges after the 90th percentile with a budget of 10%. bin/bench runs fleets of real daemons side by side; FakeTargets drives one dispatcher in virtual time.

--- a/anvilpick-core/src/main/java/io/anvilpick/routing/ClassBaseline.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/ClassBaseline.java
@@ -3,7 +3,7 @@
 /** What answers of one class of requests usually take, over all targets of the service. Not thread safe. */
 final class ClassBaseline {
     private static final double MEDIAN = 0.5;
-    private static final double HEDGE_QUANTILE = 0.95;
+    private static final double HEDGE_QUANTILE = 0.9;
 
     private final QuantileEstimate median = new QuantileEstimate(MEDIAN);
     private final QuantileEstimate hedgeDelay = new QuantileEstimate(HEDGE_QUANTILE);
--- a/anvilpick-core/src/main/java/io/anvilpick/routing/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/Dispatcher.java
@@ -31,8 +31,8 @@
 public final class Dispatcher {
     private static final int RETRY_PERCENT = 10;
     private static final int RETRY_RESERVE = 10;
-    private static final int HEDGE_PERCENT = 5;
-    private static final int HEDGE_RESERVE = 5;
+    private static final int HEDGE_PERCENT = 10;
+    private static final int HEDGE_RESERVE = 10;
     private static final int MOST_EJECTED_PERCENT = 50;
     private static final int PERCENT = 100;
 
--- a/anvilpick-core/src/main/java/io/anvilpick/routing/TargetPicker.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/TargetPicker.java
@@ -55,7 +55,7 @@
                 bestScore = score;
             }
         }
-        return best == null || isWorthWaiting(bestScore, queued, fastSlots) ? null : best;
+        return best == null || isWorthWaiting(best, bestScore, queued, fastSlots) ? null : best;
     }
 
     private static boolean isBetter(TargetState target, double score, TargetState best, double bestScore) {
@@ -74,11 +74,11 @@
     }
 
     /**
-     * A slow target with a free slot would answer after about {@code score} times the usual; one of the fast slots comes
+     * A target that is lastingly slow and has a free slot would answer after about {@code score} times the usual; one of the fast slots comes
      * free after about {@code (queued + 1) / fastSlots} times the usual, and then answers in the usual time.
      */
-    private static boolean isWorthWaiting(double score, int queued, int fastSlots) {
-        if (score < SLOW_SCORE || fastSlots == 0) {
+    private static boolean isWorthWaiting(TargetState target, double score, int queued, int fastSlots) {
+        if (score < SLOW_SCORE || fastSlots == 0 || !target.isLastinglySlow()) {
             return false;
         }
         return score > (queued + 1.0) / fastSlots + 1;
--- a/anvilpick-core/src/main/java/io/anvilpick/routing/TargetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/TargetState.java
@@ -11,7 +11,8 @@
     static final double USUAL_SCORE = 1.0;
 
     private static final double ANSWER_WEIGHT = 0.3;
-    private static final long SHORT_HALF_LIFE_NANOS = 20_000_000L;
+    private static final long SHORT_HALF_LIFE_NANOS = 10_000_000L;
+    private static final long LASTING_HALF_LIFE_NANOS = 160_000_000L;
     private static final long LONG_HALF_LIFE_NANOS = 10_000_000_000L;
     private static final long REPORT_LIFETIME_NANOS = 50_000_000L;
     private static final long FIRST_EJECTION_NANOS = 100_000_000L;
@@ -117,6 +118,11 @@
         return overdue > SLOW_SCORE ? Math.max(decayed, overdue) : decayed;
     }
 
+    /** Returns whether the target was found slow again and again, so that it will most likely be slow once more. */
+    boolean isLastinglySlow() {
+        return halfLifeNanos >= LASTING_HALF_LIFE_NANOS;
+    }
+
     void start(Assignment assignment) {
         inFlight.put(assignment.id(), assignment);
     }
@@ -193,7 +199,7 @@
             halfLifeNanos = Math.min(LONG_HALF_LIFE_NANOS, halfLifeNanos * 2);
         }
         if (!slow) {
-            halfLifeNanos = Math.max(SHORT_HALF_LIFE_NANOS, halfLifeNanos / 2);
+            halfLifeNanos = Math.max(SHORT_HALF_LIFE_NANOS, halfLifeNanos / 4);
         }
         score = decayed + ANSWER_WEIGHT * (reading - decayed);
         scoreAtNanos = nowNanos;
--- /dev/null
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/BenchMain.java
@@ -0,0 +1,102 @@
+package io.anvilpick.load;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import com.google.common.collect.ImmutableList;
+import io.anvilpick.settings.ExitCode;
+import io.anvilpick.settings.SettingsReader;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Compares fleets that {@code bin/bench} has started. */
+@Command(name = "bench", description = "Compares policies on running daemons and stand-in targets")
+public final class BenchMain {
+    private static final int DEFAULT_SLOTS = 4;
+    private static final double DEFAULT_MEAN_MILLIS = 20;
+    private static final int DEFAULT_SECONDS = 3;
+    private static final int DEFAULT_SEEDS = 5;
+    private static final int MOST = 1_000;
+
+    @Option(name = "--fleet", description = "NAME;ask|direct;ADDRESSES; may be given several times")
+    private List<String> fleets = new ArrayList<>();
+
+    @Option(name = "--targets", description = "Addresses of the targets, with commas")
+    private @Nullable String targets;
+
+    @Option(name = "--slots", description = "Slots of each target (default 4)")
+    private @Nullable String slots;
+
+    @Option(name = "--mean-ms", description = "Mean time of a call in milliseconds (default 20)")
+    private @Nullable String meanMillis;
+
+    @Option(name = "--seconds", description = "Length of one measurement (default 3)")
+    private @Nullable String seconds;
+
+    @Option(name = "--seeds", description = "Number of seeds (default 5)")
+    private @Nullable String seeds;
+
+    @Option(name = "--quick", description = "Only a few scenarios")
+    private boolean quick;
+
+    @Option(name = "--scenario", description = "Only scenarios whose name starts with this")
+    private String scenario = "";
+
+    @Option(name = "--out", description = "Folder for table and plot")
+    private @Nullable String out;
+
+    /** Runs the program. */
+    public static void main(String[] args) throws InterruptedException {
+        try {
+            System.exit(SingleCommand.singleCommand(BenchMain.class)
+                    .parse(args)
+                    .run()
+                    .code());
+        } catch (ParseException e) {
+            System.err.println("bench: " + e.getMessage());
+            System.exit(ExitCode.USAGE.code());
+        }
+    }
+
+    private ExitCode run() throws InterruptedException {
+        SettingsReader reader = new SettingsReader(System.getenv());
+        List<String> faults = new ArrayList<>();
+        BenchSettings settings = read(reader, faults);
+        faults.addAll(reader.faults());
+        if (!faults.isEmpty()) {
+            faults.forEach(fault -> System.err.println("bench: " + fault));
+            return ExitCode.USAGE;
+        }
+        ImmutableList<BenchResult> results = new BenchRun(settings, System.err).run();
+        BenchTable table = new BenchTable(settings, results);
+        table.write();
+        System.out.print(table.markdown());
+        System.out.println(table.summary());
+        return ExitCode.OK;
+    }
+
+    private BenchSettings read(SettingsReader reader, List<String> faults) {
+        ImmutableList.Builder<Fleet> parsed = ImmutableList.builder();
+        for (String fleet : fleets) {
+            Fleet.parse(fleet)
+                    .ifPresentOrElse(
+                            parsed::add,
+                            () -> faults.add("--fleet: '" + fleet + "': must be NAME;ask|direct;ADDRESSES"));
+        }
+        return new BenchSettings(
+                parsed.build(),
+                reader.addresses("--targets", targets),
+                reader.wholeNumber("--slots", slots, 1, MOST, DEFAULT_SLOTS),
+                reader.number("--mean-ms", meanMillis, DEFAULT_MEAN_MILLIS),
+                reader.wholeNumber("--seconds", seconds, 1, MOST, DEFAULT_SECONDS),
+                reader.wholeNumber("--seeds", seeds, 1, MOST, DEFAULT_SEEDS),
+                (quick ? Scenario.quick() : Scenario.all())
+                        .stream()
+                                .filter(each -> each.label().startsWith(scenario))
+                                .collect(ImmutableList.toImmutableList()),
+                Path.of(reader.text("--out", out, "build/bench")));
+    }
+}
--- /dev/null
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/LatencyMain.java
@@ -0,0 +1,100 @@
+package io.anvilpick.load;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import com.google.common.collect.ImmutableList;
+import io.anvilpick.settings.ExitCode;
+import io.anvilpick.settings.SettingsReader;
+import org.HdrHistogram.Histogram;
+import org.jspecify.annotations.Nullable;
+
+/** Compares the latency of calls through a daemon with that of calls straight to a target, taking turns in one run. */
+@Command(name = "latency", description = "Measures the latency that a daemon adds to a call")
+public final class LatencyMain {
+    private static final int ROUNDS = 5;
+    private static final int SECONDS = 4;
+    private static final int WARMUP_SECONDS = 1;
+    private static final int FIRST_WARMUP_SECONDS = 10;
+    private static final double PER_SECOND = 500;
+    private static final double MICROS_PER_MILLI = 1_000.0;
+    private static final double TARGET_MILLIS = 0.43;
+
+    @Option(name = "--daemon", description = "Address of a daemon")
+    private @Nullable String daemon;
+
+    @Option(name = "--target", description = "Address of a target")
+    private @Nullable String target;
+
+    /** Runs the program. */
+    public static void main(String[] args) throws InterruptedException {
+        try {
+            System.exit(SingleCommand.singleCommand(LatencyMain.class)
+                    .parse(args)
+                    .run()
+                    .code());
+        } catch (ParseException e) {
+            System.err.println("latency: " + e.getMessage());
+            System.exit(ExitCode.USAGE.code());
+        }
+    }
+
+    private ExitCode run() throws InterruptedException {
+        SettingsReader reader = new SettingsReader(System.getenv());
+        String through = reader.address("--daemon", daemon);
+        String straight = reader.address("--target", target);
+        if (!reader.faults().isEmpty()) {
+            reader.faults().forEach(fault -> System.err.println("latency: " + fault));
+            return ExitCode.USAGE;
+        }
+        measure(through, FIRST_WARMUP_SECONDS, 0);
+        measure(straight, FIRST_WARMUP_SECONDS, 0);
+        Histogram throughDaemon = new Histogram(3);
+        Histogram straightToTarget = new Histogram(3);
+        for (int round = 1; round <= ROUNDS; round++) {
+            throughDaemon.add(measure(through, SECONDS, round));
+            straightToTarget.add(measure(straight, SECONDS, round));
+        }
+        System.out.println("| | p50 ms | p90 ms | p99 ms |");
+        System.out.println("|---|---:|---:|---:|");
+        print("through a daemon", throughDaemon);
+        print("straight to the target", straightToTarget);
+        double added50 = millis(throughDaemon, 50) - millis(straightToTarget, 50);
+        double added99 = millis(throughDaemon, 99) - millis(straightToTarget, 99);
+        System.out.printf(
+                "added_p50_ms=%.3f added_p99_ms=%.3f ratio_p50=%.2f ratio_p99=%.2f target_p99_ms=%.2f met=%s%n",
+                added50,
+                added99,
+                millis(throughDaemon, 50) / millis(straightToTarget, 50),
+                millis(throughDaemon, 99) / millis(straightToTarget, 99),
+                TARGET_MILLIS,
+                added99 <= TARGET_MILLIS);
+        return ExitCode.OK;
+    }
+
+    private static Histogram measure(String address, int seconds, int seed) throws InterruptedException {
+        CallStream stream = new CallStream("bench", "GET", "/rows", PER_SECOND, "a");
+        LoadRun run = new LoadRun(new LoadSettings(
+                ImmutableList.of(address),
+                true,
+                "",
+                ImmutableList.of(stream),
+                seconds,
+                WARMUP_SECONDS,
+                seed,
+                "",
+                ImmutableList.of()));
+        run.run();
+        return run.tallies().get(stream).latencies();
+    }
+
+    private static void print(String what, Histogram micros) {
+        System.out.printf(
+                "| %s | %.3f | %.3f | %.3f |%n", what, millis(micros, 50), millis(micros, 90), millis(micros, 99));
+    }
+
+    private static double millis(Histogram micros, double percentile) {
+        return micros.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+    }
+}
