--- /dev/null
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/HttpTargetClient.java
@@ -0,0 +1,152 @@
+package io.anvilpick.daemon.target;
+
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientRequestContext;
+import com.linecorp.armeria.client.ClientRequestContextCaptor;
+import com.linecorp.armeria.client.Clients;
+import com.linecorp.armeria.client.RequestOptions;
+import com.linecorp.armeria.client.ResponseTimeoutException;
+import com.linecorp.armeria.client.UnprocessedRequestException;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.client.WriteTimeoutException;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.ContentTooLargeException;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaders;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.logging.RequestLogProperty;
+import io.anvilpick.calls.CallAnswer;
+import io.anvilpick.calls.CallRequest;
+import io.anvilpick.calls.Exchange;
+import io.anvilpick.calls.Header;
+import io.anvilpick.calls.TargetClient;
+import io.anvilpick.calls.TargetReply;
+import io.anvilpick.config.TargetConfig;
+import io.anvilpick.daemon.front.HeaderNames;
+import io.anvilpick.time.TimeSource;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+
+/** Sends calls to targets over HTTP. Thread safe. */
+public final class HttpTargetClient implements TargetClient {
+    private static final int CONNECT_CHECK_MILLIS = 500;
+
+    private final WebClient client;
+    private final TimeSource time;
+    private final Executor blocking;
+
+    /**
+     * Creates a client.
+     *
+     * @param factory the threads and connections used; the caller closes it
+     * @param mostAnswerBytes largest answer body that is taken
+     * @param blocking where a thread may block
+     */
+    public HttpTargetClient(ClientFactory factory, long mostAnswerBytes, TimeSource time, Executor blocking) {
+        this.client = WebClient.builder()
+                .factory(factory)
+                .maxResponseLength(mostAnswerBytes)
+                .build();
+        this.time = time;
+        this.blocking = blocking;
+    }
+
+    @Override
+    public Exchange send(TargetConfig target, CallRequest request) {
+        long remaining = request.deadline().remainingNanos(time.nanos());
+        if (remaining <= 0) {
+            return new HttpExchange(CompletableFuture.completedFuture(new TargetReply.TimedOut()), null);
+        }
+        HttpRequest httpRequest = HttpRequest.of(headersOf(target, request, remaining), HttpData.wrap(request.body()));
+        try (ClientRequestContextCaptor captor = Clients.newContextCaptor()) {
+            HttpResponse response = client.execute(httpRequest, optionsOf(remaining));
+            ClientRequestContext context = captor.get();
+            CompletableFuture<TargetReply> reply = response.aggregate()
+                    .handle((whole, failure) -> failure == null ? answerOf(whole) : failureOf(context, failure));
+            return new HttpExchange(reply, response);
+        }
+    }
+
+    @Override
+    public CompletableFuture<Boolean> isListening(TargetConfig target) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try (Socket socket = new Socket()) {
+                        socket.connect(new InetSocketAddress(target.host(), target.port()), CONNECT_CHECK_MILLIS);
+                        return true;
+                    } catch (IOException e) {
+                        return false;
+                    }
+                },
+                blocking);
+    }
+
+    private static RequestOptions optionsOf(long remainingNanos) {
+        return RequestOptions.builder()
+                .responseTimeoutMillis(Math.max(1, TimeUnit.NANOSECONDS.toMillis(remainingNanos)))
+                .build();
+    }
+
+    private static RequestHeaders headersOf(TargetConfig target, CallRequest request, long remainingNanos) {
+        RequestHeadersBuilder headers = RequestHeaders.builder(
+                HttpMethod.valueOf(request.method()), "http://" + target.address() + request.path());
+        for (Header header : request.headers()) {
+            headers.add(header.name(), header.value());
+        }
+        headers.set(HeaderNames.TIMEOUT_MILLIS, Long.toString(TimeUnit.NANOSECONDS.toMillis(remainingNanos)));
+        headers.set(HeaderNames.ATTEMPT, Integer.toString(request.attempt()));
+        return headers.build();
+    }
+
+    private static TargetReply answerOf(AggregatedHttpResponse whole) {
+        HttpHeaders headers = whole.headers();
+        CallAnswer answer = new CallAnswer(
+                whole.status().code(),
+                HeaderNames.passedOn(headers),
+                whole.content().array(),
+                false);
+        return new TargetReply.Answered(
+                answer,
+                inFlightOf(headers.get(HeaderNames.IN_FLIGHT, "")),
+                headers.get(HeaderNames.OUTCOME, "").equals("not_run"),
+                headers.get(HeaderNames.LEAVING, "").equals("true"));
+    }
+
+    private static OptionalInt inFlightOf(String value) {
+        try {
+            return value.isEmpty() ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(value));
+        } catch (NumberFormatException e) {
+            return OptionalInt.empty();
+        }
+    }
+
+    private static TargetReply failureOf(ClientRequestContext context, Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        String reason = cause.getClass().getSimpleName();
+        if (cause instanceof UnprocessedRequestException) {
+            return new TargetReply.NotSent(reason);
+        }
+        if (cause instanceof ResponseTimeoutException || cause instanceof WriteTimeoutException) {
+            return new TargetReply.TimedOut();
+        }
+        if (cause instanceof ContentTooLargeException) {
+            return new TargetReply.Cut("answer too large");
+        }
+        if (cause instanceof CancelledByDaemonException) {
+            return new TargetReply.Cancelled();
+        }
+        boolean began = context.log().isAvailable(RequestLogProperty.RESPONSE_HEADERS);
+        return began ? new TargetReply.Cut(reason) : new TargetReply.Lost(reason);
+    }
+}
