--- /dev/null
+++ b/anvilpick-core/src/test/java/io/anvilpick/config/FakePlatform.java
@@ -0,0 +1,129 @@
+package io.anvilpick.config;
+
+import io.anvilpick.platform.Entry;
+import io.anvilpick.platform.Platform;
+import io.anvilpick.platform.PlatformException;
+import io.anvilpick.platform.Vm;
+import io.anvilpick.platform.WriteResult;
+import io.anvilpick.time.Deadline;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.locks.ReentrantLock;
+
+/** A platform in memory whose faults come from a seed. Thread safe. */
+public final class FakePlatform implements Platform {
+    private final ReentrantLock lock = new ReentrantLock();
+    private final TreeMap<String, Entry> entries = new TreeMap<>();
+    private final SplittableRandom random;
+    private final List<String> headsWritten = new ArrayList<>();
+    private int lostAnswersPercent;
+    private int refusedPercent;
+    private long lastRevision;
+    private boolean down;
+
+    /** Creates an empty platform. */
+    public FakePlatform(long seed) {
+        this.random = new SplittableRandom(seed);
+    }
+
+    /** Sets how often a write lands and its answer is lost, and how often a call is refused. */
+    public void faults(int lostAnswers, int refused) {
+        lostAnswersPercent = lostAnswers;
+        refusedPercent = refused;
+    }
+
+    /** Sets whether every call is refused. */
+    public void down(boolean value) {
+        down = value;
+    }
+
+    /** Puts a value in place whatever was there. */
+    public void restore(String key, String value) {
+        entries.put(key, new Entry(key, value, ++lastRevision));
+    }
+
+    /** Returns every value that the head has had, in order. */
+    public List<String> headsWritten() {
+        return List.copyOf(headsWritten);
+    }
+
+    @Override
+    public Optional<Entry> read(String key) throws PlatformException {
+        lock.lock();
+        try {
+            maybeRefuse();
+            return Optional.ofNullable(entries.get(key));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    @Override
+    public List<Entry> list(String prefix) throws PlatformException {
+        lock.lock();
+        try {
+            maybeRefuse();
+            return entries.tailMap(prefix).values().stream()
+                    .takeWhile(entry -> entry.key().startsWith(prefix))
+                    .toList();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    @Override
+    public Optional<Entry> awaitChange(String key, long afterRevision, Deadline deadline) throws PlatformException {
+        return read(key).filter(entry -> entry.revision() > afterRevision);
+    }
+
+    @Override
+    public WriteResult compareAndSet(String key, long expectedRevision, String value, long lease)
+            throws PlatformException {
+        lock.lock();
+        try {
+            maybeRefuse();
+            Entry present = entries.get(key);
+            long revision = present == null ? ABSENT : present.revision();
+            if (revision != expectedRevision) {
+                return new WriteResult.Conflict(revision);
+            }
+            entries.put(key, new Entry(key, value, ++lastRevision));
+            if (key.equals(ConfigurationStore.HEAD_KEY)) {
+                headsWritten.add(value);
+            }
+            if (random.nextInt(100) < lostAnswersPercent) {
+                throw new PlatformException(PlatformException.Effect.UNKNOWN, "answer lost");
+            }
+            return new WriteResult.Written(lastRevision);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    @Override
+    public long grantLease(long ttlMillis) throws PlatformException {
+        maybeRefuse();
+        return 1;
+    }
+
+    @Override
+    public boolean renewLease(long lease) throws PlatformException {
+        maybeRefuse();
+        return true;
+    }
+
+    @Override
+    public List<Vm> vms() throws PlatformException {
+        maybeRefuse();
+        return List.of();
+    }
+
+    private void maybeRefuse() throws PlatformException {
+        if (down || random.nextInt(100) < refusedPercent) {
+            throw new PlatformException(PlatformException.Effect.NONE, "refused");
+        }
+    }
+}
--- /dev/null
+++ b/anvilpick-core/src/test/java/io/anvilpick/questionnaire/QuestionnaireTest.java
@@ -0,0 +1,129 @@
+package io.anvilpick.questionnaire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.anvilpick.config.Configuration;
+import io.anvilpick.config.RequestConfig;
+import io.anvilpick.config.Samples;
+import io.anvilpick.config.ServiceConfig;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class QuestionnaireTest {
+    private static final String GOOD = """
+            contract:
+              operator: plazhna
+              publicKey: %s
+              term: season
+              endsAt: 2027-10-01T00:00:00Z
+            zones: [a, b]
+            tenants: [{name: burgas, weight: 3}]
+            services:
+              - name: tillhand
+                slotsPerTarget: 4
+                connectionsPerTarget: 220
+                measuringBudgetPercent: 0.5
+                callsPerSecond: 12000
+                rememberKeysFor: 24h
+                requests:
+                  - {name: charge, method: POST, path: /charges, nonIdempotent: yes, answerWithin: 3s, urgency: high}
+                  - {name: tally, method: GET, path: /tallies, answerWithin: 500ms, urgency: low}
+                targets:
+                  - {id: t1, address: "10.0.0.1:8080", zone: a}
+                  - {id: t2, address: "10.0.0.2:8080", zone: b, leaving: yes}
+            """.formatted(Samples.FIRST.publicKey());
+
+    private static List<Fault> faultsOf(String yaml) {
+        return assertThrows(QuestionnaireException.class, () -> Questionnaire.generate(yaml, 1)).faults();
+    }
+
+    private static void assertFault(String yaml, String field, String reason) {
+        assertTrue(
+                faultsOf(yaml).stream().anyMatch(fault -> fault.field().equals(field)
+                        && fault.reason().contains(reason)),
+                () -> faultsOf(yaml).toString());
+    }
+
+    @Test
+    void configurationSaysWhatTheQuestionnaireSays() throws Exception {
+        Configuration configuration = Questionnaire.generate(GOOD, 7);
+        assertEquals(7, configuration.contract().epoch());
+        assertEquals(3, configuration.weightOf("burgas"));
+        assertEquals(1, configuration.weightOf("a stranger"));
+        ServiceConfig service = configuration.service("tillhand").orElseThrow();
+        assertEquals(5, service.measuringPerMille());
+        assertEquals(3, service.homes());
+        assertEquals(86_400_000L, service.keyMemoryMillis());
+        RequestConfig charge = service.requestFor("POST", "/charges/7").orElseThrow();
+        assertFalse(charge.idempotent());
+        assertTrue(charge.keyRequired());
+        assertTrue(service.targets().get(1).leaving());
+        assertTrue(service.requestFor("DELETE", "/charges").isEmpty());
+    }
+
+    @Test
+    void everyFaultIsListedWithFieldAndReason() {
+        String bad = GOOD.replace("slotsPerTarget: 4", "slotsPerTarget: 0")
+                .replace("10.0.0.1:8080", "not an address")
+                .replace("answerWithin: 500ms", "answerWithin: soon")
+                .replace("zone: b", "zone: c");
+        assertEquals(4, faultsOf(bad).size(), () -> faultsOf(bad).toString());
+        assertFault(bad, "services[0].slotsPerTarget", "from 1");
+        assertFault(bad, "services[0].targets[0].address", "IP number and port");
+        assertFault(bad, "services[0].requests[1].answerWithin", "such as 250ms");
+        assertFault(bad, "services[0].targets[1].zone", "is not one of zones");
+    }
+
+    @Test
+    void slipsOfThePenAreFaults() {
+        assertFault(GOOD.replace("slotsPerTarget", "slotPerTarget"), "services[0].slotPerTarget", "is not a field");
+        assertFault(GOOD.replace("id: t2", "id: t1"), "services[0].targets[1].id", "used twice");
+        assertFault(GOOD.replace("10.0.0.2", "10.0.0.1"), "services[0].targets[1].address", "used twice");
+        assertFault(GOOD.replace("operator: plazhna", "operator: Plazhna Smetka"), "contract.operator", "lower-case");
+        assertFault(GOOD.replace("publicKey: ", "publicKey: x"), "contract.publicKey", "anvilpick keys");
+        assertFault(GOOD.replace("zones: [a, b]", "zones: []"), "zones", "one entry");
+        assertFault(GOOD.replace("services:", "services: none\nother:"), "services", "must be a list");
+    }
+
+    @Test
+    void whatIsNotYamlIsNamedByLine() {
+        assertEquals(1, faultsOf("contract: {operator: [").size());
+        assertTrue(faultsOf("a: 1\na: 2").get(0).toString().contains("Duplicate"));
+    }
+
+    @Property(tries = 500, seed = "11")
+    void anyTextIsReadOrRefused(@ForAll String text) {
+        try {
+            Questionnaire.generate(text, 1);
+        } catch (QuestionnaireException e) {
+            assertFalse(e.faults().isEmpty());
+        }
+    }
+
+    /** A good questionnaire with a piece cut out or doubled is read or refused with faults, whatever the piece. */
+    @Property(tries = 500, seed = "12")
+    void anyCutOfAQuestionnaireIsReadOrRefused(
+            @ForAll @IntRange(min = 0, max = 900) int from, @ForAll @IntRange(min = 0, max = 60) int length) {
+        int start = Math.min(from, GOOD.length());
+        int end = Math.min(start + length, GOOD.length());
+        anyTextIsReadOrRefused(GOOD.substring(0, start) + GOOD.substring(end));
+        anyTextIsReadOrRefused(GOOD.substring(0, end) + GOOD.substring(start));
+    }
+
+    @Test
+    void diffNamesWhatChanges() throws Exception {
+        Configuration before = Questionnaire.generate(GOOD, 1);
+        Configuration after = Questionnaire.generate(GOOD.replace("10.0.0.1:8080", "10.0.0.9:8080"), 1);
+        List<String> lines = ConfigurationDiff.between(before, after);
+        assertEquals(1, lines.size());
+        assertTrue(lines.get(0).startsWith("~ service tillhand target t1:"), lines.get(0));
+        assertTrue(ConfigurationDiff.between(before, before).isEmpty());
+        assertTrue(ConfigurationDiff.between(null, before).contains("+ service tillhand"));
+    }
+}
