Prove the promises with real processes; mend the metrics page

Cause: the metrics page answered 500 as soon as one metric had two sets of labels. Found by WholePathTest; ruled out: names of gauges, labels of a single set (a unit test with one set passed). The exporter in use refuses a metric name that comes twice; its older kin groups them by name.

--- a/anvilpick-core/src/test/java/io/anvilpick/config/AcceptanceTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/config/AcceptanceTest.java
@@ -24,8 +24,8 @@
 
     private AcceptResult accept(Contract contract, int port, long expected, String id, Signatures.Keys keys)
             throws PlatformException, ConfigurationException {
-        return acceptance.accept(new Acceptance.Change(
-                Samples.configuration(contract, 3, port), expected, id, keys.privateKey()));
+        return acceptance.accept(
+                new Acceptance.Change(Samples.configuration(contract, 3, port), expected, id, keys.privateKey()));
     }
 
     private AcceptResult acceptFirst(int port, long expected, String id)
@@ -49,7 +49,9 @@
         acceptFirst(1_001, 0, "one");
         acceptFirst(1_002, 1, "two");
         AcceptResult result = acceptFirst(1_003, 1, "three");
-        assertEquals("two", assertInstanceOf(AcceptResult.Stale.class, result).winner().changeId());
+        assertEquals(
+                "two",
+                assertInstanceOf(AcceptResult.Stale.class, result).winner().changeId());
         assertEquals(2, stored().version());
     }
 
@@ -65,8 +67,7 @@
     @Test
     void strangerCannotAccept() throws Exception {
         acceptFirst(1_001, 0, "one");
-        assertInstanceOf(
-                AcceptResult.Refused.class, accept(Samples.firstContract(), 1_002, 1, "two", Samples.SECOND));
+        assertInstanceOf(AcceptResult.Refused.class, accept(Samples.firstContract(), 1_002, 1, "two", Samples.SECOND));
         assertInstanceOf(
                 AcceptResult.Refused.class, accept(Samples.secondContract(1), 1_002, 1, "two", Samples.SECOND));
     }
@@ -80,8 +81,7 @@
                 "before the end of the term");
         time.advance(Duration.ofMillis(Samples.TERM_END));
         assertInstanceOf(AcceptResult.Refused.class, acceptFirst(1_002, 1, "late"), "after the end of the term");
-        assertEquals(
-                new AcceptResult.Accepted(2), accept(Samples.secondContract(2), 1_003, 1, "over", Samples.SECOND));
+        assertEquals(new AcceptResult.Accepted(2), accept(Samples.secondContract(2), 1_003, 1, "over", Samples.SECOND));
         assertInstanceOf(AcceptResult.Stale.class, acceptFirst(1_004, 1, "sent before"));
         assertInstanceOf(AcceptResult.Refused.class, acceptFirst(1_004, 2, "sent after"));
         assertEquals("second", stored().acceptedBy());
@@ -117,7 +117,8 @@
         assertEquals(RACES, platform.headsWritten().size());
         long expected = 1;
         for (String text : platform.headsWritten()) {
-            Head head = codec.decode("head", codec.decode("signed", text, SignedHead.class).head(), Head.class);
+            Head head = codec.decode(
+                    "head", codec.decode("signed", text, SignedHead.class).head(), Head.class);
             assertEquals(expected++, head.version());
             assertTrue(winners.remove(head.changeId()), "none twice, and none that was told it lost");
         }
--- a/anvilpick-core/src/test/java/io/anvilpick/config/InForceTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/config/InForceTest.java
@@ -88,10 +88,8 @@
 
     @Test
     void unchangedServicesAreNotFetchedOrDecodedAgain() throws Exception {
-        Snapshot before = Samples.snapshot(
-                Samples.configuration(Samples.firstContract(), 200, 1), 1, 1, Samples.FIRST);
-        Snapshot after = Samples.snapshot(
-                Samples.configuration(Samples.firstContract(), 200, 2), 2, 2, Samples.FIRST);
+        Snapshot before = Samples.snapshot(Samples.configuration(Samples.firstContract(), 200, 1), 1, 1, Samples.FIRST);
+        Snapshot after = Samples.snapshot(Samples.configuration(Samples.firstContract(), 200, 2), 2, 2, Samples.FIRST);
         List<String> fetched = new ArrayList<>();
         Snapshot assembled = new SnapshotAssembler(new ConfigurationCodec())
                 .assemble(after.signed(), before, digests -> {
--- a/anvilpick-core/src/test/java/io/anvilpick/membership/MembershipTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/membership/MembershipTest.java
@@ -97,7 +97,9 @@
         AddressAdvisor advisor = new AddressAdvisor(table, new SplittableRandom(1));
         Map<String, String> before = new HashMap<>();
         for (int i = 0; i < 300; i++) {
-            before.put("s" + i, advisor.answer(service("s" + i, 1), "").orElseThrow().address());
+            before.put(
+                    "s" + i,
+                    advisor.answer(service("s" + i, 1), "").orElseThrow().address());
         }
         table.markGone("m3");
         Map<String, Integer> movedTo = new HashMap<>();
@@ -120,7 +122,8 @@
         }
         AddressAdvisor advisor = new AddressAdvisor(table, new SplittableRandom(1));
         for (int i = 0; i < 20; i++) {
-            String address = advisor.answer(service("everywhere", 7), "z1").orElseThrow().address();
+            String address =
+                    advisor.answer(service("everywhere", 7), "z1").orElseThrow().address();
             assertTrue(Set.of("m1:80", "m4:80").contains(address), address);
         }
     }
--- a/anvilpick-core/src/test/java/io/anvilpick/questionnaire/QuestionnaireTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/questionnaire/QuestionnaireTest.java
@@ -40,13 +40,15 @@
             """.formatted(Samples.FIRST.publicKey());
 
     private static List<Fault> faultsOf(String yaml) {
-        return assertThrows(QuestionnaireException.class, () -> Questionnaire.generate(yaml, 1)).faults();
+        return assertThrows(QuestionnaireException.class, () -> Questionnaire.generate(yaml, 1))
+                .faults();
     }
 
     private static void assertFault(String yaml, String field, String reason) {
         assertTrue(
-                faultsOf(yaml).stream().anyMatch(fault -> fault.field().equals(field)
-                        && fault.reason().contains(reason)),
+                faultsOf(yaml).stream()
+                        .anyMatch(fault ->
+                                fault.field().equals(field) && fault.reason().contains(reason)),
                 () -> faultsOf(yaml).toString());
     }
 
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/Daemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/Daemon.java
@@ -196,11 +196,13 @@
     }
 
     private void addGauges() {
-        metrics.gauge("config_version", inForce::version);
-        metrics.gauge("claim_map_version", () -> knowledge.claimMaps().current().version());
-        metrics.gauge("members", () -> members.all().size());
+        metrics.gauge("anvilpick_config_version", inForce::version);
         metrics.gauge(
-                "calls_waiting",
+                "anvilpick_claim_map_version",
+                () -> knowledge.claimMaps().current().version());
+        metrics.gauge("anvilpick_members", () -> members.all().size());
+        metrics.gauge(
+                "anvilpick_calls_waiting",
                 () -> dispatchers.all().values().stream()
                         .mapToInt(Dispatcher::waitingCalls)
                         .sum());
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/CallMetrics.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/CallMetrics.java
@@ -5,15 +5,14 @@
 import io.anvilpick.calls.CallEvents;
 import io.anvilpick.config.InForce;
 import io.anvilpick.error.ErrorKind;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import io.prometheus.metrics.instrumentation.dropwizard.DropwizardExports;
-import io.prometheus.metrics.instrumentation.dropwizard5.labels.CustomLabelMapper;
-import io.prometheus.metrics.instrumentation.dropwizard5.labels.MapperConfig;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
+import io.prometheus.client.CollectorRegistry;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.dropwizard.samplebuilder.CustomMappingSampleBuilder;
+import io.prometheus.client.dropwizard.samplebuilder.MapperConfig;
+import io.prometheus.client.exporter.common.TextFormat;
 import java.io.IOException;
+import java.io.StringWriter;
 import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -31,27 +30,24 @@
     private static final String OTHER_TENANT = "other";
 
     private final MetricRegistry registry = new MetricRegistry();
-    private final PrometheusRegistry scraped = new PrometheusRegistry();
-    private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
+    private final CollectorRegistry scraped = new CollectorRegistry();
     private final InForce inForce;
 
     /** Creates metrics whose tenants come from the configuration in force. */
     public CallMetrics(InForce inForce) {
         this.inForce = inForce;
-        DropwizardExports.builder()
-                .dropwizardRegistry(registry)
-                .customLabelMapper(new CustomLabelMapper(List.of(
-                        new MapperConfig(
-                                "latency.*.*.*",
-                                "anvilpick_call_microseconds",
-                                Map.of("service", "${0}", "request", "${1}", "tenant", "${2}")),
-                        new MapperConfig(
-                                "refused.*.*.*.*",
-                                "anvilpick_calls_refused",
-                                Map.of("service", "${0}", "request", "${1}", "tenant", "${2}", "kind", "${3}")),
-                        new MapperConfig("retries.*", "anvilpick_retries", Map.of("service", "${0}")),
-                        new MapperConfig("hedges.*", "anvilpick_hedges", Map.of("service", "${0}")))))
-                .register(scraped);
+        CustomMappingSampleBuilder labels = new CustomMappingSampleBuilder(List.of(
+                new MapperConfig(
+                        "latency.*.*.*",
+                        "anvilpick_call_microseconds",
+                        Map.of("service", "${0}", "request", "${1}", "tenant", "${2}")),
+                new MapperConfig(
+                        "refused.*.*.*.*",
+                        "anvilpick_calls_refused",
+                        Map.of("service", "${0}", "request", "${1}", "tenant", "${2}", "kind", "${3}")),
+                new MapperConfig("retries.*", "anvilpick_retries", Map.of("service", "${0}")),
+                new MapperConfig("hedges.*", "anvilpick_hedges", Map.of("service", "${0}"))));
+        scraped.register(new DropwizardExports(registry, labels));
     }
 
     @Override
@@ -87,13 +83,13 @@
 
     /** Returns every metric in the text format of scrapers. */
     public String scrape() {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        StringWriter out = new StringWriter();
         try {
-            writer.write(out, scraped.scrape());
+            TextFormat.write004(out, scraped.metricFamilySamples());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        return out.toString(StandardCharsets.UTF_8);
+        return out.toString();
     }
 
     private String tenantOf(String tenant) {
--- /dev/null
+++ b/anvilpick-it/src/test/java/io/anvilpick/it/TestSystem.java
@@ -0,0 +1,324 @@
+package io.anvilpick.it;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.anvilpick.cli.OperatorCli;
+import io.anvilpick.daemon.DaemonMain;
+import io.anvilpick.load.LoadMain;
+import io.anvilpick.standins.PlatformMain;
+import io.anvilpick.standins.ProxyMain;
+import io.anvilpick.standins.TargetMain;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/** A platform, targets and daemons as real processes on loopback. */
+final class TestSystem implements AutoCloseable {
+    static final String REGION = "bg-east";
+
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 10_000;
+    private static final Duration PATIENCE = Duration.ofSeconds(60);
+    private static final Duration POLL = Duration.ofMillis(50);
+    private static int nextPort = (int) (ProcessHandle.current().pid() * 97 % PORTS);
+
+    final List<String> daemonAddresses = new ArrayList<>();
+    final List<String> peerAddresses = new ArrayList<>();
+    final List<RunningProcess> daemons = new ArrayList<>();
+    final List<RunningProcess> targets = new ArrayList<>();
+    final List<Integer> targetPorts = new ArrayList<>();
+    final String platformAddress;
+    final RunningProcess platform;
+
+    private final Path folder;
+    private final Path records;
+    private final HttpClient http =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final List<RunningProcess> all = new ArrayList<>();
+
+    /** An answer with what the tests look at. */
+    record Answer(int status, Map<String, List<String>> headers, String body) {
+        String header(String name) {
+            return headers.getOrDefault(name, List.of("")).get(0);
+        }
+    }
+
+    TestSystem(Path folder) throws IOException {
+        this.folder = folder;
+        this.records = Files.createDirectories(folder.resolve("records"));
+        int port = freePort();
+        platformAddress = "127.0.0.1:" + port;
+        platform = start("platform", PlatformMain.class, List.of("--port", Integer.toString(port)));
+    }
+
+    /** Returns a free port below those that the system gives to outgoing connections. */
+    static synchronized int freePort() {
+        for (int tries = 0; tries < PORTS; tries++) {
+            int port = FIRST_PORT + nextPort++ % PORTS;
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress("127.0.0.1", port));
+                return port;
+            } catch (IOException e) {
+                continue;
+            }
+        }
+        throw new IllegalStateException("no free port");
+    }
+
+    void startTargets(int count, String... flags) throws Exception {
+        for (int i = 0; i < count; i++) {
+            targetPorts.add(freePort());
+            targets.add(startTarget(i, flags));
+        }
+        for (int port : targetPorts) {
+            await("target", () -> get("127.0.0.1:" + port, "/health").status() == 200);
+        }
+    }
+
+    RunningProcess startTarget(int index, String... flags) throws IOException {
+        List<String> arguments = new ArrayList<>(List.of(
+                "--id",
+                "t" + index,
+                "--port",
+                Integer.toString(targetPorts.get(index)),
+                "--mean-ms",
+                "5",
+                "--write-ms",
+                "5"));
+        Collections.addAll(arguments, flags);
+        Path output = records.resolve("t" + index + "-" + System.nanoTime());
+        RunningProcess target = RunningProcess.start(output, TargetMain.class, arguments);
+        all.add(target);
+        return target;
+    }
+
+    /** Starts a daemon; {@code flags} come after the usual ones and may repeat them. */
+    int startDaemon(String... flags) throws IOException {
+        int index = daemons.size();
+        int callPort = freePort();
+        int peerPort = freePort();
+        daemonAddresses.add("127.0.0.1:" + callPort);
+        peerAddresses.add("127.0.0.1:" + peerPort);
+        daemons.add(startDaemonAt(index, callPort, peerPort, flags));
+        return index;
+    }
+
+    /** Starts a daemon anew under the addresses of an earlier one. */
+    void restartDaemon(int index, String... flags) throws IOException {
+        daemons.set(
+                index,
+                startDaemonAt(index, portOf(daemonAddresses.get(index)), portOf(peerAddresses.get(index)), flags));
+    }
+
+    private RunningProcess startDaemonAt(int index, int callPort, int peerPort, String... flags) throws IOException {
+        List<String> arguments = new ArrayList<>(List.of(
+                "--call-port",
+                Integer.toString(callPort),
+                "--peer-port",
+                Integer.toString(peerPort),
+                "--region",
+                REGION,
+                "--zone",
+                "zone-" + index % 3,
+                "--platform",
+                platformAddress));
+        Collections.addAll(arguments, flags);
+        return start("daemon" + index + "-" + System.nanoTime(), DaemonMain.class, arguments);
+    }
+
+    RunningProcess startProxy(int port, int adminPort, String to) throws IOException {
+        return start(
+                "proxy" + port,
+                ProxyMain.class,
+                List.of("--port", Integer.toString(port), "--admin-port", Integer.toString(adminPort), "--to", to));
+    }
+
+    RunningProcess startLoad(int seconds, List<String> calls) throws IOException {
+        List<String> arguments = new ArrayList<>(List.of(
+                "--daemons", String.join(",", daemonAddresses),
+                "--seconds", Integer.toString(seconds),
+                "--records", records.toString()));
+        calls.forEach(call -> Collections.addAll(arguments, "--call", call));
+        return start("load" + System.nanoTime(), LoadMain.class, arguments);
+    }
+
+    /** Runs the operators' client and returns what it printed; fails unless it ends with {@code code}. */
+    String operator(int code, String... arguments) throws Exception {
+        RunningProcess client = start("operator" + System.nanoTime(), OperatorCli.class, List.of(arguments));
+        int ended = client.exitCode(60);
+        assertEquals(code, ended, client.errors());
+        return client.output();
+    }
+
+    /** Writes a questionnaire of one service and accepts it as the version after {@code expected}. */
+    void accept(long expected, String extra) throws Exception {
+        Path questionnaire = folder.resolve("questionnaire-" + expected + ".yaml");
+        Files.writeString(questionnaire, questionnaire(extra));
+        operator(
+                0,
+                "accept",
+                "--platform",
+                platformAddress,
+                "--version",
+                Long.toString(expected),
+                "--key",
+                keyFile().toString(),
+                questionnaire.toString());
+    }
+
+    Path keyFile() throws Exception {
+        Path file = folder.resolve("operator.key");
+        if (!Files.exists(file)) {
+            Files.writeString(folder.resolve("operator.pub"), operator(0, "keys", file.toString()));
+        }
+        return file;
+    }
+
+    String questionnaire(String extra) throws Exception {
+        keyFile();
+        StringBuilder text = new StringBuilder(
+                """
+                contract: {operator: plazhna, publicKey: "%s", term: season, endsAt: 2100-01-01T00:00:00Z}
+                zones: [zone-0, zone-1, zone-2]
+                tenants: [{name: burgas, weight: 1}]
+                services:
+                  - name: tillhand
+                    slotsPerTarget: 4
+                    connectionsPerTarget: 220
+                    measuringBudgetPercent: 1
+                    callsPerSecond: 100
+                    rememberKeysFor: 1h
+                    requests:
+                      - {name: tally, method: GET, path: /tallies, answerWithin: 2s, urgency: high}
+                      - {name: charge, method: POST, path: /charges, nonIdempotent: yes, answerWithin: 3s, urgency: high}
+                    targets:
+                """.formatted(Files.readString(folder.resolve("operator.pub")).strip()));
+        for (int i = 0; i < targetPorts.size(); i++) {
+            text.append("      - {id: t%d, address: \"127.0.0.1:%d\", zone: zone-%d%s}%n"
+                    .formatted(i, targetPorts.get(i), i % 3, extra));
+        }
+        return text.toString();
+    }
+
+    Answer get(String address, String path, String... headers) throws IOException, InterruptedException {
+        return send(
+                HttpRequest.newBuilder(URI.create("http://" + address + path)).GET(), headers);
+    }
+
+    /** Makes a charge under {@code key}; the key is also the name under which targets record it. */
+    Answer charge(int daemon, String key, String body) throws IOException, InterruptedException {
+        HttpRequest.Builder request = HttpRequest.newBuilder(
+                        URI.create("http://" + daemonAddresses.get(daemon) + "/s/tillhand/charges"))
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+        return send(request, "idempotency-key", key, "x-run-id", key, "anvilpick-tenant", "burgas");
+    }
+
+    /** Returns how often targets recorded that they ran {@code id}. */
+    long runsOf(String id) throws IOException {
+        long runs = 0;
+        try (Stream<Path> files = Files.list(records)) {
+            for (Path file : files.toList()) {
+                runs += Files.readAllLines(file).stream()
+                        .filter(line -> line.startsWith("ran id=" + id + " "))
+                        .count();
+            }
+        }
+        return runs;
+    }
+
+    void platformFaults(String query) throws IOException, InterruptedException {
+        assertEquals(200, get(platformAddress, "/admin/faults?" + query).status());
+    }
+
+    void awaitReady() throws Exception {
+        for (String address : daemonAddresses) {
+            await(
+                    address + " to be ready",
+                    () -> get(address, "/anvilpick/v1/ready").status() == 200);
+        }
+    }
+
+    /** Waits until every daemon knows a claim map whose groups have {@code replicas} replicas. */
+    void awaitClaims() throws Exception {
+        for (int i = 0; i < daemons.size(); i++) {
+            int daemon = i;
+            String probe = "probe-" + System.nanoTime();
+            await("claims at daemon " + i, () -> charge(daemon, probe, "probe").status() == 200);
+        }
+    }
+
+    String status(int daemon) throws IOException, InterruptedException {
+        return get(daemonAddresses.get(daemon), "/anvilpick/v1/status").body();
+    }
+
+    /** Something that becomes true. */
+    interface Condition {
+        boolean holds() throws Exception;
+    }
+
+    /** Waits until {@code condition} holds; a connection that is refused counts as not yet. */
+    void await(String what, Condition condition) throws Exception {
+        long end = System.nanoTime() + PATIENCE.toNanos();
+        while (System.nanoTime() - end < 0) {
+            try {
+                if (condition.holds()) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Not there yet.
+            }
+            Thread.sleep(POLL);
+        }
+        throw new AssertionError("no " + what + " within " + PATIENCE + "\n" + errorsOfDaemons());
+    }
+
+    @Override
+    public void close() {
+        all.forEach(RunningProcess::close);
+    }
+
+    private String errorsOfDaemons() throws IOException {
+        StringBuilder errors = new StringBuilder();
+        for (RunningProcess daemon : daemons) {
+            errors.append(daemon.errors()
+                    .lines()
+                    .filter(line -> line.contains("event="))
+                    .limit(20)
+                    .toList());
+        }
+        return errors.toString();
+    }
+
+    private Answer send(HttpRequest.Builder request, String... headers) throws IOException, InterruptedException {
+        for (int i = 0; i < headers.length; i += 2) {
+            request.header(headers[i], headers[i + 1]);
+        }
+        HttpResponse<String> response =
+                http.send(request.timeout(Duration.ofSeconds(20)).build(), HttpResponse.BodyHandlers.ofString());
+        return new Answer(
+                response.statusCode(), new HashMap<>(response.headers().map()), response.body());
+    }
+
+    private RunningProcess start(String name, Class<?> program, List<String> arguments) throws IOException {
+        RunningProcess process = RunningProcess.start(folder.resolve(name + ".out"), program, arguments);
+        all.add(process);
+        return process;
+    }
+
+    private static int portOf(String address) {
+        return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    }
+}
--- /dev/null
+++ b/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
@@ -0,0 +1,121 @@
+package io.anvilpick.peer;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.anvilpick.claims.Claim;
+import io.anvilpick.claims.ClaimGroup;
+import io.anvilpick.claims.ClaimKey;
+import io.anvilpick.claims.ClaimMap;
+import io.anvilpick.claims.ClaimState;
+import io.anvilpick.claims.KeptAnswer;
+import io.anvilpick.claims.SealedGroup;
+import io.anvilpick.claims.Vote;
+import io.anvilpick.config.SignedHead;
+import io.anvilpick.crashes.CrashReport;
+import io.anvilpick.membership.LeavingList;
+import io.anvilpick.membership.Member;
+import io.anvilpick.messages.AcquitRequest;
+import io.anvilpick.messages.ClaimReleaseRequest;
+import io.anvilpick.messages.ClaimSettleRequest;
+import io.anvilpick.messages.ClaimVoteRequest;
+import io.anvilpick.messages.CrashRequest;
+import io.anvilpick.messages.GossipRequest;
+import io.anvilpick.messages.InstallRequest;
+import io.anvilpick.messages.PartsRequest;
+import io.anvilpick.messages.PeerReply;
+import io.anvilpick.messages.PeerRequest;
+import io.anvilpick.messages.SealRequest;
+import io.anvilpick.peer.wire.PeerProto;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class PeerCodecTest {
+    private static final ClaimKey KEY = new ClaimKey("tillhand", "burgas", "key");
+    private static final Claim RUNNING = new Claim(KEY, "holder", "print", new ClaimState.Running(), 7, 9);
+    private static final Claim UNSETTLED = RUNNING.withState(new ClaimState.Unsettled());
+    private static final Member MEMBER = new Member("i", "c:1", "p:2", "region", "zone", true, 3);
+
+    private static final List<PeerRequest> REQUESTS = List.of(
+            new ClaimVoteRequest(1, 2, RUNNING),
+            new ClaimSettleRequest(1, KEY, "holder", new ClaimState.Done(Optional.empty())),
+            new ClaimReleaseRequest(1, KEY, "holder"),
+            new SealRequest(1, 2),
+            new InstallRequest(1, 2, "change", ImmutableList.of(RUNNING, UNSETTLED)),
+            new GossipRequest(1, 2, 3, ImmutableList.of(MEMBER)),
+            new PartsRequest(ImmutableSet.of("a", "b")),
+            new CrashRequest(new CrashReport("print", "t:1", 5)),
+            new AcquitRequest("print"));
+
+    private static final List<PeerReply> REPLIES = List.of(
+            new PeerReply.Done(),
+            new PeerReply.Voted(new Vote.Granted()),
+            new PeerReply.Voted(new Vote.Taken(UNSETTLED)),
+            new PeerReply.Voted(new Vote.WrongEpoch(4)),
+            new PeerReply.Sealed(new SealedGroup(1, 2, true, ImmutableList.of(RUNNING))),
+            new PeerReply.Installed(true),
+            new PeerReply.Gossip(
+                    Optional.of(new SignedHead("head", "signature")),
+                    Optional.of(new ClaimMap(3, ImmutableList.of(new ClaimGroup(0, 1, "c", 2, ImmutableList.of("i"))))),
+                    Optional.of(new LeavingList(8, ImmutableSet.of("10.0.0.1"))),
+                    1,
+                    3,
+                    ImmutableList.of(MEMBER)),
+            new PeerReply.Parts(ImmutableMap.of("digest", "text")),
+            new PeerReply.Rejected("reason"));
+
+    @Test
+    void everyRequestComesBackAsItWas() throws Exception {
+        for (PeerRequest request : REQUESTS) {
+            PeerProto.Envelope sent =
+                    PeerProto.Envelope.parseFrom(PeerCodec.encode(5, request).toByteArray());
+            assertEquals(Optional.of(request), PeerCodec.decodeRequest(sent));
+            assertTrue(PeerCodec.decodeReply(sent).isEmpty());
+            assertEquals(5, sent.getRequestId());
+        }
+    }
+
+    @Test
+    void everyReplyComesBackAsItWas() throws Exception {
+        for (PeerReply reply : REPLIES) {
+            PeerProto.Envelope sent =
+                    PeerProto.Envelope.parseFrom(PeerCodec.encode(5, reply).toByteArray());
+            assertEquals(Optional.of(reply), PeerCodec.decodeReply(sent));
+            assertTrue(PeerCodec.decodeRequest(sent).isEmpty());
+        }
+    }
+
+    @Test
+    void keptAnswerComesBackByteForByte() {
+        KeptAnswer kept = new KeptAnswer(201, "text/plain", new byte[] {0, 1, -1});
+        PeerRequest request = new ClaimSettleRequest(1, KEY, "holder", new ClaimState.Done(Optional.of(kept)));
+        ClaimSettleRequest decoded = assertInstanceOf(
+                ClaimSettleRequest.class,
+                PeerCodec.decodeRequest(PeerCodec.encode(1, request)).orElseThrow());
+        KeptAnswer answer =
+                assertInstanceOf(ClaimState.Done.class, decoded.end()).answer().orElseThrow();
+        assertEquals(201, answer.status());
+        assertArrayEquals(kept.body(), answer.body());
+    }
+
+    /** A frame of any bytes is a request, a reply, nothing, or not an envelope; it never raises anything else. */
+    @Property(tries = 2_000, seed = "9")
+    void anyFrameIsReadOrRefused(@ForAll byte[] bytes) {
+        try {
+            PeerProto.Envelope envelope = PeerProto.Envelope.parseFrom(bytes);
+            assertTrue(PeerCodec.decodeRequest(envelope).isEmpty()
+                    || PeerCodec.decodeReply(envelope).isEmpty());
+        } catch (InvalidProtocolBufferException e) {
+            assertTrue(bytes.length > 0);
+        }
+    }
+}
