--- a/anvilpick-cli/src/main/java/io/anvilpick/cli/HelpCommand.java
+++ b/anvilpick-cli/src/main/java/io/anvilpick/cli/HelpCommand.java
@@ -21,7 +21,10 @@
     private List<String> command = new ArrayList<>();
 
     @Override
-    public ExitCode run(Console console) {
+    public ExitCode run(Console console) throws CliException {
+        if (!command.isEmpty() && !isCommand(command.get(0))) {
+            throw new CliException(ExitCode.USAGE, "'" + command.get(0) + "': is not a command; see anvilpick --help");
+        }
         try {
             Help.help(metadata, command, console.out());
         } catch (IOException e) {
@@ -29,4 +32,9 @@
         }
         return ExitCode.OK;
     }
+
+    private boolean isCommand(String name) {
+        return metadata.getDefaultGroupCommands().stream()
+                .anyMatch(each -> each.getName().equals(name));
+    }
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/membership/MemberTable.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/membership/MemberTable.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,9 +17,12 @@
  * <p>A member's beat, which only it raises, spreads among daemons; one whose beat stands still for too long is suspect.
  */
 public final class MemberTable {
-    /** Time without a rising beat after which a member is suspect. */
+    /** Time without a rising beat after which a member is suspect, in a small fleet. */
     public static final Duration SUSPECT_AFTER = Duration.ofSeconds(3);
 
+    /** Time by which that grows with each member known, since a gossip message tells only of some. */
+    public static final Duration SUSPECT_LATER_PER_MEMBER = Duration.ofMillis(80);
+
     /** Time after which a member that is suspect or gone is dropped from the table. */
     public static final Duration FORGET_AFTER = Duration.ofMinutes(10);
 
@@ -26,6 +30,7 @@
 
     private final TimeSource time;
     private final String self;
+    private final AtomicInteger count = new AtomicInteger();
     private final Shards<Map<String, Row>> rows = Shards.create(SHARDS, HashMap::new);
 
     private record Row(Member member, long risenAtNanos, boolean gone) {}
@@ -48,7 +53,9 @@
                     && (known.gone() || member.beat() <= known.member().beat())) {
                 return false;
             }
-            shard.put(member.instance(), new Row(member, time.nanos(), false));
+            if (shard.put(member.instance(), new Row(member, time.nanos(), false)) == null) {
+                count.incrementAndGet();
+            }
             return true;
         });
     }
@@ -85,7 +92,9 @@
         long now = time.nanos();
         ImmutableList.Builder<Known> all = ImmutableList.builder();
         rows.forEach(shard -> {
+            int before = shard.size();
             shard.values().removeIf(row -> isForgotten(row, now));
+            count.addAndGet(shard.size() - before);
             shard.values().forEach(row -> all.add(new Known(row.member(), livenessOf(row, now))));
         });
         return all.build();
@@ -116,12 +125,16 @@
             return Liveness.GONE;
         }
         boolean own = row.member().instance().equals(self);
-        if (!own && now - row.risenAtNanos() > SUSPECT_AFTER.toNanos()) {
+        if (!own && now - row.risenAtNanos() > suspectAfterNanos()) {
             return Liveness.SUSPECT;
         }
         return row.member().leaving() ? Liveness.LEAVING : Liveness.LIVE;
     }
 
+    private long suspectAfterNanos() {
+        return Math.max(SUSPECT_AFTER.toNanos(), SUSPECT_LATER_PER_MEMBER.toNanos() * count.get());
+    }
+
     private boolean isForgotten(Row row, long now) {
         return !row.member().instance().equals(self) && now - row.risenAtNanos() > FORGET_AFTER.toNanos();
     }
--- a/anvilpick-core/src/main/java/io/anvilpick/questionnaire/ConfigurationDiff.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/questionnaire/ConfigurationDiff.java
@@ -2,9 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import io.anvilpick.config.Configuration;
+import io.anvilpick.config.Contract;
+import io.anvilpick.config.Operator;
 import io.anvilpick.config.RequestConfig;
 import io.anvilpick.config.ServiceConfig;
 import io.anvilpick.config.TargetConfig;
+import io.anvilpick.config.TenantConfig;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -17,6 +21,8 @@
 
 /** Lists in readable lines what changes from one configuration to another. */
 public final class ConfigurationDiff {
+    private static final long MILLIS_PER_SECOND = 1_000;
+
     private final List<String> lines = new ArrayList<>();
 
     private ConfigurationDiff() {}
@@ -24,13 +30,29 @@
     /** Returns one line for each difference: {@code +} added, {@code -} removed, {@code ~} changed. */
     public static ImmutableList<String> between(@Nullable Configuration before, Configuration after) {
         ConfigurationDiff diff = new ConfigurationDiff();
-        diff.compare("contract", before == null ? null : before.contract(), after.contract());
+        diff.compareContract(before == null ? null : before.contract(), after.contract());
         diff.compareAll(
-                "tenant", before == null ? List.of() : before.tenants(), after.tenants(), tenant -> tenant.name());
+                "tenant",
+                before == null ? List.of() : before.tenants(),
+                after.tenants(),
+                TenantConfig::name,
+                tenant -> "weight " + tenant.weight());
         diff.compareServices(before == null ? Map.of() : before.services(), after.services());
         return ImmutableList.copyOf(diff.lines);
     }
 
+    private void compareContract(@Nullable Contract before, Contract after) {
+        compare("operator", before == null ? null : describe(before.operator()), describe(after.operator()));
+        compare("term", before == null ? null : describeTerm(before), describeTerm(after));
+        compare("contract epoch", before == null ? null : before.epoch(), after.epoch());
+        compare(
+                "next operator",
+                before == null
+                        ? null
+                        : before.next().map(ConfigurationDiff::describe).orElse(null),
+                after.next().map(ConfigurationDiff::describe).orElse(null));
+    }
+
     private void compareServices(Map<String, ServiceConfig> before, Map<String, ServiceConfig> after) {
         TreeSet<String> names = new TreeSet<>(before.keySet());
         names.addAll(after.keySet());
@@ -40,39 +62,59 @@
     }
 
     private void compareService(String name, @Nullable ServiceConfig before, @Nullable ServiceConfig after) {
-        if (Objects.equals(before, after)) {
-            return;
-        }
         String what = "service " + name;
-        if (before == null || after == null) {
-            lines.add((before == null ? "+ " : "- ") + what);
-        } else {
-            compare(what + " limits", limitsOf(before), limitsOf(after));
-        }
-        List<RequestConfig> requestsBefore = before == null ? List.of() : before.requests();
-        List<TargetConfig> targetsBefore = before == null ? List.of() : before.targets();
         if (after == null) {
+            lines.add("- " + what);
             return;
         }
-        compareAll(what + " request", requestsBefore, after.requests(), RequestConfig::name);
-        compareAll(what + " target", targetsBefore, after.targets(), TargetConfig::id);
+        if (before == null) {
+            lines.add("+ " + what);
+        }
+        compareLimits(what, before, after);
+        compareAll(
+                what + " request",
+                before == null ? List.of() : before.requests(),
+                after.requests(),
+                RequestConfig::name,
+                ConfigurationDiff::describe);
+        compareAll(
+                what + " target",
+                before == null ? List.of() : before.targets(),
+                after.targets(),
+                TargetConfig::id,
+                ConfigurationDiff::describe);
     }
 
-    private static String limitsOf(ServiceConfig service) {
-        return "slots=" + service.slotsPerTarget()
-                + " connections=" + service.connectionsPerTarget()
-                + " measuring_per_mille=" + service.measuringPerMille()
-                + " homes=" + service.homes()
-                + " key_memory_ms=" + service.keyMemoryMillis();
+    private void compareLimits(String what, @Nullable ServiceConfig before, ServiceConfig after) {
+        compareLimit(what + " slots per target", before, after, ServiceConfig::slotsPerTarget);
+        compareLimit(what + " connections per target", before, after, ServiceConfig::connectionsPerTarget);
+        compareLimit(what + " measuring budget in thousandths", before, after, ServiceConfig::measuringPerMille);
+        compareLimit(what + " homes", before, after, ServiceConfig::homes);
+        compareLimit(
+                what + " seconds that keys are remembered",
+                before,
+                after,
+                service -> service.keyMemoryMillis() / MILLIS_PER_SECOND);
     }
 
-    private <T> void compareAll(String what, List<T> before, List<T> after, Function<T, String> name) {
+    private void compareLimit(
+            String what, @Nullable ServiceConfig before, ServiceConfig after, Function<ServiceConfig, Object> limit) {
+        compare(what, before == null ? null : limit.apply(before), limit.apply(after));
+    }
+
+    private <T> void compareAll(
+            String what, List<T> before, List<T> after, Function<T, String> name, Function<T, String> describe) {
         Map<String, T> old = byName(before, name);
         Map<String, T> fresh = byName(after, name);
         TreeSet<String> names = new TreeSet<>(old.keySet());
         names.addAll(fresh.keySet());
         for (String each : names) {
-            compare(what + " " + each, old.get(each), fresh.get(each));
+            T oldOne = old.get(each);
+            T freshOne = fresh.get(each);
+            compare(
+                    what + " " + each,
+                    oldOne == null ? null : describe.apply(oldOne),
+                    freshOne == null ? null : describe.apply(freshOne));
         }
     }
 
@@ -89,9 +131,28 @@
             return;
         }
         if (after == null) {
-            lines.add("- " + what);
+            lines.add("- " + what + ": " + before);
             return;
         }
         lines.add("~ " + what + ": " + before + " -> " + after);
     }
+
+    private static String describe(Operator operator) {
+        return operator.name() + " with public key " + operator.publicKey();
+    }
+
+    private static String describeTerm(Contract contract) {
+        return contract.term() + " until " + Instant.ofEpochMilli(contract.endsAtMillis());
+    }
+
+    private static String describe(RequestConfig request) {
+        String repeat = request.idempotent() ? "idempotent" : "non-idempotent";
+        String key = request.keyRequired() ? ", key required" : "";
+        return request.method() + " " + request.pathPrefix() + ", " + repeat + key + ", answer within "
+                + request.timeoutMillis() + " ms, priority " + request.priority();
+    }
+
+    private static String describe(TargetConfig target) {
+        return target.address() + " in " + target.zone() + (target.leaving() ? ", leaving" : "");
+    }
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/routing/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/Dispatcher.java
@@ -8,6 +8,7 @@
 import io.anvilpick.config.ServiceConfig;
 import io.anvilpick.config.TargetConfig;
 import io.anvilpick.error.ErrorKind;
+import io.anvilpick.limits.PacedBudget;
 import io.anvilpick.limits.ShareBudget;
 import io.anvilpick.time.TimeSource;
 import java.util.ArrayList;
@@ -33,6 +34,9 @@
     private static final int RETRY_RESERVE = 10;
     private static final int HEDGE_PERCENT = 10;
     private static final int HEDGE_RESERVE = 10;
+    /** Time of a target that a call to it counts as measuring where the target may still be failing. */
+    private static final long TRIAL_COST_NANOS = 6_000_000;
+
     private static final int MOST_EJECTED_PERCENT = 50;
     private static final int PERCENT = 100;
 
@@ -42,6 +46,7 @@
     private final TargetPolicy policy;
     private final ShareBudget retries = ShareBudget.ofPercent(RETRY_PERCENT, RETRY_RESERVE);
     private final ShareBudget hedges = ShareBudget.ofPercent(HEDGE_PERCENT, HEDGE_RESERVE);
+    private final PacedBudget measuring;
     private final WaitingCalls waiting = new WaitingCalls();
     private final Map<String, ClassBaseline> baselines = new HashMap<>();
     private Map<String, TargetState> targets = new LinkedHashMap<>();
@@ -52,6 +57,7 @@
     private Dispatcher(Builder builder) {
         this.time = checkNotNull(builder.time, "time");
         this.policy = builder.policy;
+        this.measuring = PacedBudget.perMilleOfSlots(time, 0, 0);
         this.picker = new TargetPicker(policy, checkNotNull(builder.random, "random"));
     }
 
@@ -78,6 +84,7 @@
                                 : new TargetState(target, service.slotsPerTarget(), first, now));
             }
             targets = next;
+            measuring.resize(service.measuringPerMille(), (double) service.slotsPerTarget() * next.size());
         } finally {
             lock.unlock();
         }
@@ -107,7 +114,7 @@
             retries.earn();
             hedges.earn();
             if (waiting.size() == 0) {
-                TargetState target = pick(call, now, 0);
+                TargetState target = pick(call, now, 0, Set.of());
                 if (target != null) {
                     return new Admission.Assigned(assign(call, target, now));
                 }
@@ -133,7 +140,7 @@
             if (!retries.tryTake()) {
                 return new Admission.Refused(ErrorKind.OVERLOADED);
             }
-            TargetState target = picker.pick(candidates(now, failed), now, baselineNanos(call.request()), 0);
+            TargetState target = pick(call, now, 0, failed);
             if (target != null) {
                 return new Admission.Assigned(assign(call, target, now));
             }
@@ -201,8 +208,7 @@
             if (!allowed) {
                 return Optional.empty();
             }
-            TargetState target =
-                    picker.pick(candidates(now, Set.of(first.target().id())), now, baselineNanos(call.request()), 0);
+            TargetState target = pick(call, now, 0, Set.of(first.target().id()));
             if (target == null || !hedges.tryTake()) {
                 return Optional.empty();
             }
@@ -279,7 +285,7 @@
                 expired.add(call);
                 continue;
             }
-            TargetState target = pick(call, now, waiting.size());
+            TargetState target = pick(call, now, waiting.size(), Set.of());
             if (target == null) {
                 break;
             }
@@ -289,30 +295,31 @@
         return new Dispatch(assigned.build(), expired.build());
     }
 
-    private @Nullable TargetState pick(Call call, long now, int queued) {
-        return picker.pick(candidates(now, Set.of()), now, baselineNanos(call.request()), queued);
-    }
-
-    /** Returns the targets that may serve; where none may, those that are at least not leaving, least bad first. */
-    private List<TargetState> candidates(long now, Set<String> excluded) {
+    /**
+     * Picks a target. One that failed is tried again by a real call, and only as often as the measuring budget allows;
+     * where no other is left, all that failed serve all the same.
+     */
+    private @Nullable TargetState pick(Call call, long now, int queued, Set<String> excluded) {
         List<TargetState> serving = new ArrayList<>(targets.size());
-        TargetState leastBad = null;
+        List<TargetState> failing = new ArrayList<>();
+        TargetState trial = null;
         for (TargetState target : targets.values()) {
             if (excluded.contains(target.config().id()) || isLeaving(target, now)) {
                 continue;
             }
-            if (target.mayServe(now)) {
+            if (!target.isEjected()) {
                 serving.add(target);
                 continue;
             }
-            if (leastBad == null || target.triedAgainAtNanos(now) < leastBad.triedAgainAtNanos(now)) {
-                leastBad = target;
+            failing.add(target);
+            if (target.mayServe(now)) {
+                trial = target;
             }
         }
-        if (serving.isEmpty() && leastBad != null) {
-            serving.add(leastBad);
+        if (trial != null && measuring.trySpend(TRIAL_COST_NANOS)) {
+            return trial;
         }
-        return serving;
+        return picker.pick(serving.isEmpty() ? failing : serving, now, baselineNanos(call.request()), queued);
     }
 
     private boolean isLeaving(TargetState target, long now) {
--- a/anvilpick-core/src/main/java/io/anvilpick/routing/TargetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/TargetState.java
@@ -16,9 +16,10 @@
     private static final long LONG_HALF_LIFE_NANOS = 10_000_000_000L;
     private static final long REPORT_LIFETIME_NANOS = 50_000_000L;
     private static final long FIRST_EJECTION_NANOS = 100_000_000L;
-    private static final long LONGEST_EJECTION_NANOS = 10_000_000_000L;
+    private static final long LONGEST_EJECTION_NANOS = 5_000_000_000L;
     private static final long DRAIN_BELIEF_NANOS = 30_000_000_000L;
     private static final int FAILURES_TO_EJECT = 3;
+    private static final int FAILURES_TO_EJECT_FOR_CERTAIN = 10;
     private static final double SLOW_SCORE = 2.0;
 
     private final TargetConfig config;
@@ -97,11 +98,6 @@
         return health instanceof Health.Ejected;
     }
 
-    /** Returns when an ejected target may be tried again; the present for others. */
-    long triedAgainAtNanos(long nowNanos) {
-        return health instanceof Health.Ejected ejected ? ejected.untilNanos() : nowNanos;
-    }
-
     /**
      * Returns how slow the target is against its siblings: one as usual, larger if slower. The decayed mean of its
      * answers counts, or a call that is overdue now, whichever is larger. O(calls in flight).
@@ -164,11 +160,15 @@
         health = new Health.Draining(nowNanos + DRAIN_BELIEF_NANOS);
     }
 
-    /** Notes a failure; {@code mayEject} is false where too much capacity is ejected already. */
+    /**
+     * Notes a failure. Where too much capacity is ejected already, {@code mayEject} is false and only a target that has
+     * failed many times in a row is ejected.
+     */
     void onFailure(long nowNanos, boolean certain, boolean mayEject) {
         failuresInRow++;
         boolean wasEjected = isEjected();
-        if (!wasEjected && !certain && (failuresInRow < FAILURES_TO_EJECT || !mayEject)) {
+        int enough = mayEject ? FAILURES_TO_EJECT : FAILURES_TO_EJECT_FOR_CERTAIN;
+        if (!wasEjected && !certain && failuresInRow < enough) {
             return;
         }
         int doublings = Math.min(failuresInRow, Integer.SIZE - 1);
--- a/anvilpick-core/src/test/java/io/anvilpick/routing/DispatcherTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/routing/DispatcherTest.java
@@ -128,6 +128,41 @@
         assertTrue(fake.latencyMillis("b", 0.99) <= 1.3 * alone);
     }
 
+    /** Nine of ten targets fail: real calls find out when they are back, and no more of them than the budget pays for. */
+    @Test
+    void trialsOfFailedTargetsStayWithinTheMeasuringBudget() {
+        FakeTargets fake = fake(OURS, 1);
+        for (int i = 1; i < TARGETS; i++) {
+            fake.failingFast.add(i);
+        }
+        fake.offer("a", 150, Duration.ofSeconds(10));
+        fake.run(Duration.ofSeconds(3));
+        int before = callsToFailed(fake);
+        fake.run(Duration.ofSeconds(5));
+        int trials = callsToFailed(fake) - before;
+        double budgetMillis = 5_000 * TARGETS * SLOTS * 0.010;
+        assertTrue(trials * 6 <= budgetMillis + 6, () -> "trials: " + trials);
+        assertTrue(trials > 0);
+        fake.failingFast.clear();
+        fake.run(Duration.ofSeconds(10));
+        fake.time.advance(Duration.ofSeconds(10));
+        int back = fake.answered();
+        fake.offer("a", CAPACITY_PER_SECOND * 0.5, Duration.ofSeconds(20));
+        fake.run(Duration.ofSeconds(40));
+        assertTrue(
+                fake.answered() - back > CAPACITY_PER_SECOND * 0.5 * 20 * 0.95,
+                () -> fake.answered() - back + " answered, " + fake.refused() + " refused, " + fake.failures
+                        + " failed " + fake.dispatcher.targets());
+    }
+
+    private static int callsToFailed(FakeTargets fake) {
+        int calls = 0;
+        for (int target : fake.failingFast) {
+            calls += fake.callsByTarget.getOrDefault(target, 0);
+        }
+        return calls;
+    }
+
     @Test
     void hedgesStayWithinTheirBudget() {
         FakeTargets fake = run(fake(OURS, 1), 0.5);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/Gossip.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/Gossip.java
@@ -25,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 
@@ -48,6 +49,7 @@
     private final TimeSource time;
     private final RandomGenerator random;
     private final ImmutableList<String> seeds;
+    private final AtomicBoolean fetching = new AtomicBoolean();
 
     /** What gossip works with; {@code random} must be thread safe. */
     public record Parts(
@@ -76,14 +78,14 @@
     public void round() throws InterruptedException {
         knowledge.members().beat();
         for (String address : addressesForRound()) {
-            exchange(address);
+            exchange(address, sample.members());
         }
     }
 
     /** Tells a few peers at once that there is news. */
     public void tellNews() {
         for (Member member : sample.others(PEERS_ON_NEWS)) {
-            peers.ask(member.peerAddress(), request(), Deadline.after(time, TIMEOUT));
+            peers.ask(member.peerAddress(), request(sample.atMost(1)), Deadline.after(time, TIMEOUT));
         }
     }
 
@@ -99,26 +101,31 @@
 
     /** Tells every member of the region that this daemon is leaving. */
     public void broadcastOwnState() {
-        broadcast(request());
+        broadcast(request(sample.atMost(1)));
     }
 
-    /** Fetches what {@code member} knows beyond this daemon, on another thread. */
+    /** Fetches what {@code member} knows beyond this daemon, on another thread, unless it is fetching already. */
     public void fetchNewsFrom(Member member) {
+        if (!fetching.compareAndSet(false, true)) {
+            return;
+        }
         threads.execute(() -> {
             try {
-                exchange(member.peerAddress());
+                exchange(member.peerAddress(), sample.atMost(1));
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
+            } finally {
+                fetching.set(false);
             }
         });
     }
 
-    private GossipRequest request() {
+    private GossipRequest request(ImmutableList<Member> told) {
         return new GossipRequest(
                 knowledge.inForce().version(),
                 knowledge.claimMaps().current().version(),
                 knowledge.leaving().asOfMillis(),
-                sample.members());
+                told);
     }
 
     /** A suspect is asked now and then too, so that one whose word got lost, or that was cut off, is found again. */
@@ -135,10 +142,10 @@
         return addresses;
     }
 
-    private void exchange(String address) throws InterruptedException {
+    private void exchange(String address, ImmutableList<Member> told) throws InterruptedException {
         try {
-            PeerReply reply =
-                    peers.ask(address, request(), Deadline.after(time, TIMEOUT)).get();
+            PeerReply reply = peers.ask(address, request(told), Deadline.after(time, TIMEOUT))
+                    .get();
             if (reply instanceof PeerReply.Gossip gossip) {
                 take(address, gossip);
             }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/MemberSample.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/MemberSample.java
@@ -13,7 +13,7 @@
 
 /** Draws the members that a gossip message tells of: this daemon first, then a bounded number of others. Thread safe. */
 public final class MemberSample {
-    private static final int MOST_OTHERS = 24;
+    private static final int MOST_OTHERS = 16;
     private static final ImmutableSet<Liveness> TOLD = ImmutableSet.of(Liveness.LIVE, Liveness.LEAVING);
 
     private final MemberTable members;
@@ -27,9 +27,14 @@
 
     /** Returns the members to tell of. */
     public ImmutableList<Member> members() {
+        return atMost(MOST_OTHERS + 1);
+    }
+
+    /** Returns this daemon and at most {@code most - 1} others. */
+    public ImmutableList<Member> atMost(int most) {
         ImmutableList.Builder<Member> sample = ImmutableList.builder();
         members.own().ifPresent(sample::add);
-        sample.addAll(others(MOST_OTHERS));
+        sample.addAll(others(Math.clamp(most - 1L, 0, MOST_OTHERS)));
         return sample.build();
     }
 
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/PeerService.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/PeerService.java
@@ -125,7 +125,8 @@
         Optional<ClaimMap> newerMap = Optional.of(map).filter(mine -> mine.version() > gossip.claimMapVersion());
         Optional<LeavingList> newerLeaving =
                 Optional.of(leaving).filter(mine -> mine.asOfMillis() > gossip.leavingAsOfMillis());
-        ImmutableList<Member> members = sample.members();
+        // News travels light: whoever tells of no other members is told of none.
+        ImmutableList<Member> members = sample.atMost(gossip.members().size());
         return new PeerReply.Gossip(head, newerMap, newerLeaving, version, map.version(), members);
     }
 
--- a/anvilpick-it/src/test/java/io/anvilpick/it/TestSystem.java
+++ b/anvilpick-it/src/test/java/io/anvilpick/it/TestSystem.java
@@ -11,10 +11,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -218,6 +220,23 @@
                 HttpRequest.newBuilder(URI.create("http://" + address + path)).GET(), headers);
     }
 
+    /** Sends a request, waits until some target works on it, and closes the connection. */
+    void callAndGoAway(int daemon, String path) throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", portOf(daemonAddresses.get(daemon)))) {
+            String request = "GET " + path + " HTTP/1.1\r\nhost: anvilpick\r\n\r\n";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+            await("a target to be busy", () -> {
+                for (int port : targetPorts) {
+                    if (!get("127.0.0.1:" + port, "/admin/counts").body().contains("busy=0")) {
+                        return true;
+                    }
+                }
+                return false;
+            });
+        }
+    }
+
     /** Makes a charge under {@code key}; the key is also the name under which targets record it. */
     Answer charge(int daemon, String key, String body) throws IOException, InterruptedException {
         HttpRequest.Builder request = HttpRequest.newBuilder(
--- a/anvilpick-it/src/test/java/io/anvilpick/it/WholePathTest.java
+++ b/anvilpick-it/src/test/java/io/anvilpick/it/WholePathTest.java
@@ -101,6 +101,29 @@
         assertEquals("not_run", answer.header("anvilpick-outcome"));
     }
 
+    @Test
+    void cancellationOfTheCallerReachesTheTarget() throws Exception {
+        for (int port : system.targetPorts) {
+            system.get("127.0.0.1:" + port, "/admin/misbehave?slowness=600");
+        }
+        try {
+            system.callAndGoAway(0, "/s/tillhand/tallies/1");
+            system.await("the target to hear of it", () -> {
+                int cancelled = 0;
+                for (int port : system.targetPorts) {
+                    String counts =
+                            system.get("127.0.0.1:" + port, "/admin/counts").body();
+                    cancelled += counts.contains("cancelled=0") ? 0 : 1;
+                }
+                return cancelled > 0;
+            });
+        } finally {
+            for (int port : system.targetPorts) {
+                system.get("127.0.0.1:" + port, "/admin/misbehave?slowness=1");
+            }
+        }
+    }
+
     @Test
     void histogramsPerTenantAndClassAreShownToScrapers() throws Exception {
         call(0, "/s/tillhand/tallies/1", "anvilpick-tenant", "burgas");
--- /dev/null
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/capacity/CapacityMain.java
@@ -0,0 +1,106 @@
+package io.anvilpick.load.capacity;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import com.google.common.collect.ImmutableList;
+import io.anvilpick.config.ConfigurationException;
+import io.anvilpick.platform.PlatformException;
+import io.anvilpick.settings.ExitCode;
+import io.anvilpick.settings.SettingsReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Measures slopes into a file and writes the figures that follow from them into the capacity page. */
+@Command(name = "capacity", description = "Measures slopes, and works out the figures of the capacity page")
+public final class CapacityMain {
+    @Option(name = "--slopes", description = "File of slopes")
+    private @Nullable String slopes;
+
+    @Option(name = "--page", description = "The capacity page")
+    private @Nullable String page;
+
+    @Option(name = "--pure", description = "Measure the pure parts")
+    private boolean pure;
+
+    @Option(name = "--platform", description = "Platform of the daemons whose control is measured")
+    private @Nullable String platform;
+
+    @Option(name = "--daemons", description = "Addresses of those daemons, with commas")
+    private @Nullable String daemons;
+
+    @Option(name = "--pids", description = "Process ids of those daemons, with commas")
+    private @Nullable String pids;
+
+    @Option(name = "--calls", description = "RATE:MICROSECONDS_OF_PROCESSOR_A_SECOND, with commas")
+    private @Nullable String calls;
+
+    /** Runs the program. */
+    public static void main(String[] args) throws InterruptedException {
+        try {
+            System.exit(SingleCommand.singleCommand(CapacityMain.class)
+                    .parse(args)
+                    .run()
+                    .code());
+        } catch (ParseException e) {
+            System.err.println("capacity: " + e.getMessage());
+            System.exit(ExitCode.USAGE.code());
+        } catch (PlatformException | ConfigurationException | IOException e) {
+            System.err.println("capacity: " + e.getMessage());
+            System.exit(ExitCode.UNAVAILABLE.code());
+        }
+    }
+
+    private ExitCode run() throws PlatformException, ConfigurationException, IOException, InterruptedException {
+        SettingsReader reader = new SettingsReader(System.getenv());
+        Path file = Path.of(reader.text("--slopes", slopes));
+        Path pageFile = Path.of(reader.text("--page", page));
+        List<Slope> measured = new ArrayList<>();
+        if (pure) {
+            measured.addAll(PureSlopes.heap());
+            measured.addAll(PureSlopes.time());
+        }
+        if (pids != null) {
+            List<Long> processes =
+                    List.of(pids.split(",", -1)).stream().map(Long::valueOf).toList();
+            measured.addAll(new ControlSlopes(
+                            reader.address("--platform", platform),
+                            reader.addresses("--daemons", daemons),
+                            new ProcessMeter(processes))
+                    .measure());
+        }
+        if (calls != null) {
+            measured.add(slopeOfCalls(calls));
+        }
+        if (!reader.faults().isEmpty()) {
+            reader.faults().forEach(fault -> System.err.println("capacity: " + fault));
+            return ExitCode.USAGE;
+        }
+        SlopeFile.merge(file, measured);
+        writePage(pageFile, SlopeFile.read(file));
+        return ExitCode.OK;
+    }
+
+    private static Slope slopeOfCalls(String text) {
+        List<Double> rates = new ArrayList<>();
+        List<Double> micros = new ArrayList<>();
+        for (String pair : text.split(",", -1)) {
+            String[] fields = pair.split(":", -1);
+            rates.add(Double.valueOf(fields[0]));
+            micros.add(Double.valueOf(fields[1]));
+        }
+        return Slope.fit("cpu_of_calls", "us of processor a second", "call a second", rates, micros);
+    }
+
+    private static void writePage(Path file, ImmutableList<Slope> all) throws IOException {
+        String text = Files.readString(file);
+        int begin = text.indexOf(CapacityPage.BEGIN);
+        int end = text.indexOf(CapacityPage.END) + CapacityPage.END.length() + 1;
+        Files.writeString(file, text.substring(0, begin) + CapacityPage.figures(all) + text.substring(end));
+    }
+}
--- /dev/null
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/capacity/ControlSlopes.java
@@ -0,0 +1,130 @@
+package io.anvilpick.load.capacity;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.collect.ImmutableList;
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.WebClient;
+import io.anvilpick.config.AcceptResult;
+import io.anvilpick.config.Acceptance;
+import io.anvilpick.config.ConfigurationCodec;
+import io.anvilpick.config.ConfigurationException;
+import io.anvilpick.config.ConfigurationStore;
+import io.anvilpick.platform.Platform;
+import io.anvilpick.platform.PlatformException;
+import io.anvilpick.platform.http.HttpPlatform;
+import io.anvilpick.time.TimeSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What control costs real daemons while the configuration changes once a second, and how long a change takes to be in
+ * force everywhere. Daemons carry no calls meanwhile.
+ */
+final class ControlSlopes {
+    private static final ImmutableList<Integer> SERVICES = ImmutableList.of(300, 600, 1_200, 2_400);
+    private static final int WARMUP_CHANGES = 15;
+    private static final int CHANGES = 10;
+    private static final int TIMED_CHANGES = 5;
+    private static final long CHANGE_EVERY_MILLIS = 1_000;
+    private static final long POLL_MILLIS = 10;
+    private static final double PERCENT = 100;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final ConfigurationCodec codec = new ConfigurationCodec();
+    private final JsonMapper json = new JsonMapper();
+    private final WebClient client = WebClient.of();
+    private final Acceptance acceptance;
+    private final ProcessMeter meter;
+    private final ImmutableList<String> daemons;
+    private long version;
+
+    ControlSlopes(String platformAddress, ImmutableList<String> daemons, ProcessMeter meter) {
+        TimeSource time = TimeSource.system();
+        Platform platform = HttpPlatform.at(platformAddress, ClientFactory.ofDefault(), time);
+        this.acceptance = new Acceptance(new ConfigurationStore(platform, codec), codec, time);
+        this.daemons = daemons;
+        this.meter = meter;
+    }
+
+    List<Slope> measure() throws PlatformException, ConfigurationException, InterruptedException {
+        List<Double> sizes = new ArrayList<>();
+        List<Double> cpuPercent = new ArrayList<>();
+        List<Double> bytesPerSecond = new ArrayList<>();
+        List<Double> millisToAll = new ArrayList<>();
+        for (int services : SERVICES) {
+            change(services);
+            awaitAll();
+            changeEverySecond(services, WARMUP_CHANGES);
+            long startNanos = System.nanoTime();
+            ProcessMeter.Usage before = meter.usage();
+            changeEverySecond(services, CHANGES);
+            ProcessMeter.Usage used = meter.usage().minus(before);
+            double seconds = (System.nanoTime() - startNanos) / (double) TimeUnit.SECONDS.toNanos(1);
+            sizes.add((double) services);
+            cpuPercent.add(used.cpuSeconds() / seconds / meter.processes() * PERCENT);
+            bytesPerSecond.add(used.bytes() / seconds / meter.processes());
+            millisToAll.add(worstMillisToAll(services));
+        }
+        return List.of(
+                Slope.fit("control_cpu_at_one_change_a_second", "percent of a core", "service", sizes, cpuPercent),
+                Slope.fit("control_bytes_at_one_change_a_second", "bytes a second", "service", sizes, bytesPerSecond),
+                Slope.fit("time_until_in_force_everywhere", "ms", "service", sizes, millisToAll));
+    }
+
+    private void changeEverySecond(int services, int changes)
+            throws PlatformException, ConfigurationException, InterruptedException {
+        for (int i = 0; i < changes; i++) {
+            long due = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CHANGE_EVERY_MILLIS);
+            change(services);
+            TimeUnit.NANOSECONDS.sleep(Math.max(0, due - System.nanoTime()));
+        }
+    }
+
+    private double worstMillisToAll(int services)
+            throws PlatformException, ConfigurationException, InterruptedException {
+        double worst = 0;
+        for (int i = 0; i < TIMED_CHANGES; i++) {
+            change(services);
+            long landed = System.nanoTime();
+            awaitAll();
+            worst = Math.max(worst, (System.nanoTime() - landed) / NANOS_PER_MILLI);
+            Thread.sleep(CHANGE_EVERY_MILLIS);
+        }
+        return worst;
+    }
+
+    private void change(int services) throws PlatformException, ConfigurationException {
+        AcceptResult result = acceptance.accept(new Acceptance.Change(
+                SampleState.configuration(services, (int) (version + 1)),
+                version,
+                UUID.randomUUID().toString(),
+                SampleState.KEYS.privateKey()));
+        if (!(result instanceof AcceptResult.Accepted accepted)) {
+            throw new ConfigurationException("not accepted: " + result);
+        }
+        version = accepted.version();
+    }
+
+    private void awaitAll() throws InterruptedException {
+        for (String daemon : daemons) {
+            while (versionAt(daemon) < version) {
+                Thread.sleep(POLL_MILLIS);
+            }
+        }
+    }
+
+    private long versionAt(String daemon) {
+        try {
+            String status = client.get("http://" + daemon + "/anvilpick/v1/status")
+                    .aggregate()
+                    .join()
+                    .contentUtf8();
+            return json.readTree(status).path("configVersion").asLong();
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("status of " + daemon + " cannot be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/capacity/DecisionBenchmark.java
@@ -0,0 +1,51 @@
+package io.anvilpick.load.capacity;
+
+import io.anvilpick.config.RequestConfig;
+import io.anvilpick.routing.Admission;
+import io.anvilpick.routing.Call;
+import io.anvilpick.routing.CallResult;
+import io.anvilpick.routing.Dispatch;
+import io.anvilpick.routing.Dispatcher;
+import io.anvilpick.time.Deadline;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** Time of one decision: a call submitted and finished, over the targets of its service. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class DecisionBenchmark {
+    private static final RequestConfig LOOKUP = new RequestConfig("lookup", "GET", "/rows", true, false, 400, 0);
+    private static final long FAR_NANOS = TimeUnit.HOURS.toNanos(1);
+
+    /** Targets of the service. */
+    @Param({"11", "22", "44", "88"})
+    public int size;
+
+    private Dispatcher dispatcher;
+    private long nextId;
+
+    /** Makes the dispatcher. */
+    @Setup
+    public void setUp() {
+        dispatcher = SampleState.dispatcher(size);
+    }
+
+    /** Submits and finishes a call. */
+    @Benchmark
+    public Dispatch decide() {
+        Call call = new Call(nextId++, "a", LOOKUP, new Deadline(System.nanoTime() + FAR_NANOS));
+        if (dispatcher.submit(call) instanceof Admission.Assigned assigned) {
+            return dispatcher.finish(assigned.assignment(), new CallResult.Answered(OptionalInt.empty(), false, false));
+        }
+        throw new IllegalStateException("an idle dispatcher assigns every call");
+    }
+}
--- a/anvilpick-standins/src/main/java/io/anvilpick/standins/target/TargetStandIn.java
+++ b/anvilpick-standins/src/main/java/io/anvilpick/standins/target/TargetStandIn.java
@@ -270,11 +270,15 @@
         }
     }
 
-    /** Returns whether a slot is free and no call waits. */
+    /** Returns whether a slot is free, no call waits, and a call would be answered well. */
     boolean isFree() {
         lock.lock();
         try {
-            return !down && busy < settings.slots() && waiting.isEmpty() && !misbehaviour.draining();
+            return !down
+                    && busy < settings.slots()
+                    && waiting.isEmpty()
+                    && !misbehaviour.draining()
+                    && !misbehaviour.failFast();
         } finally {
             lock.unlock();
         }
--- /dev/null
+++ b/bin/bench-capacity.sh
@@ -0,0 +1,54 @@
+# Slopes for docs/CAPACITY.md. Sourced by bin/bench.
+slopes=$top/docs/capacity-slopes.json
+page=$top/docs/CAPACITY.md
+
+capacity() {
+    run_program -Xmx2g io.anvilpick.load.capacity.CapacityMain --slopes "$slopes" --page "$page" "$@"
+}
+cpu_ticks() { # process id; hundredths of a second of user and system time
+    sed 's/.*) //' "/proc/$1/stat" | awk '{print $12 + $13}'
+}
+
+measure_control() {
+    start_platform --reads-per-second 100000 --writes-per-second 100000
+    local first=${#pids[@]} i daemon_pids=
+    start_fleet control 6 late-binding
+    for ((i = first; i < ${#pids[@]}; i++)); do
+        daemon_pids=$daemon_pids,${pids[$i]}
+    done
+    for address in ${fleet_addresses[control]//,/ }; do
+        wait_for "$address" /anvilpick/v1/health
+    done
+    sleep 3
+    capacity --platform 127.0.0.1:$platform_port --daemons "${fleet_addresses[control]}" --pids "${daemon_pids#,}"
+    for ((i = first; i < ${#pids[@]}; i++)); do
+        kill -9 "${pids[$i]}"
+    done
+}
+
+measure_calls() {
+    platform_port=$((platform_port + 1))
+    start_platform
+    start_farm 8 64 2
+    start_fleet calls 1 late-binding
+    local pid=${pids[-1]} rate before after measured= seconds=10
+    accept_questionnaire 8 64
+    wait_fleet calls
+    load() { # calls a second, seconds
+        run_program -Xmx512m io.anvilpick.load.LoadMain --daemons "${fleet_addresses[calls]}" --direct \
+            --call "bench,GET,/rows,$1,a" --seconds "$2" >"$work/load.out" 2>"$work/load.err"
+    }
+    load 2000 30
+    for rate in 250 500 1000 2000; do
+        before=$(cpu_ticks "$pid")
+        load "$rate" "$seconds"
+        after=$(cpu_ticks "$pid")
+        measured=$measured,$rate:$(((after - before) * 10000 / seconds))
+    done
+    echo "bench: processor by rate ${measured#,}" >&2
+    capacity --calls "${measured#,}"
+}
+
+capacity --pure
+measure_control
+measure_calls
