--- a/anvilpick-load/src/main/java/io/anvilpick/load/capacity/ControlSlopes.java
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/capacity/ControlSlopes.java
@@ -25,9 +25,9 @@
  */
 final class ControlSlopes {
     private static final ImmutableList<Integer> SERVICES = ImmutableList.of(300, 600, 1_200, 2_400);
-    private static final int WARMUP_CHANGES = 15;
-    private static final int CHANGES = 10;
-    private static final int TIMED_CHANGES = 5;
+    private static final int WARMUP_CHANGES = 5;
+    private static final int CHANGES = 8;
+    private static final int TIMED_CHANGES = 3;
     private static final long CHANGE_EVERY_MILLIS = 1_000;
     private static final long POLL_MILLIS = 10;
     private static final double PERCENT = 100;
