Split the dispatcher's targets and the codec of claims into files of their own

Change: TargetSet holds the targets of a service and which of them a call may go to; ClaimCodec turns claims, votes and maps into messages. No behaviour changes.

--- a/anvilpick-core/src/main/java/io/anvilpick/routing/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/Dispatcher.java
@@ -6,15 +6,10 @@
 import io.anvilpick.config.Configuration;
 import io.anvilpick.config.RequestConfig;
 import io.anvilpick.config.ServiceConfig;
-import io.anvilpick.config.TargetConfig;
 import io.anvilpick.error.ErrorKind;
-import io.anvilpick.limits.PacedBudget;
 import io.anvilpick.limits.ShareBudget;
 import io.anvilpick.time.TimeSource;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -34,31 +29,22 @@
     private static final int RETRY_RESERVE = 10;
     private static final int HEDGE_PERCENT = 10;
     private static final int HEDGE_RESERVE = 10;
-    /** Time of a target that a call to it counts as measuring where the target may still be failing. */
-    private static final long TRIAL_COST_NANOS = 6_000_000;
-
-    private static final int MOST_EJECTED_PERCENT = 50;
-    private static final int PERCENT = 100;
 
     private final ReentrantLock lock = new ReentrantLock();
     private final TimeSource time;
-    private final TargetPicker picker;
     private final TargetPolicy policy;
     private final ShareBudget retries = ShareBudget.ofPercent(RETRY_PERCENT, RETRY_RESERVE);
     private final ShareBudget hedges = ShareBudget.ofPercent(HEDGE_PERCENT, HEDGE_RESERVE);
-    private final PacedBudget measuring;
     private final WaitingCalls waiting = new WaitingCalls();
     private final Map<String, ClassBaseline> baselines = new HashMap<>();
-    private Map<String, TargetState> targets = new LinkedHashMap<>();
-    private Set<String> leavingAddresses = Set.of();
+    private final TargetSet targets;
     private @Nullable Configuration configuration;
     private long nextAssignmentId;
 
     private Dispatcher(Builder builder) {
         this.time = checkNotNull(builder.time, "time");
         this.policy = builder.policy;
-        this.measuring = PacedBudget.perMilleOfSlots(time, 0, 0);
-        this.picker = new TargetPicker(policy, checkNotNull(builder.random, "random"));
+        this.targets = new TargetSet(new TargetPicker(policy, checkNotNull(builder.random, "random")), time);
     }
 
     /** Returns a builder. */
@@ -70,21 +56,8 @@
     public void configure(ServiceConfig service, Configuration whole) {
         lock.lock();
         try {
-            boolean first = configuration == null;
             configuration = whole;
-            long now = time.nanos();
-            Map<String, TargetState> next = new LinkedHashMap<>();
-            for (TargetConfig target : service.targets()) {
-                TargetState known = targets.get(target.id());
-                boolean same = known != null && known.config().address().equals(target.address());
-                next.put(
-                        target.id(),
-                        same
-                                ? known.reconfigured(target, service.slotsPerTarget(), now)
-                                : new TargetState(target, service.slotsPerTarget(), first, now));
-            }
-            targets = next;
-            measuring.resize(service.measuringPerMille(), (double) service.slotsPerTarget() * next.size());
+            targets.configure(service, time.nanos());
         } finally {
             lock.unlock();
         }
@@ -94,7 +67,7 @@
     public void noteLeaving(Set<String> addresses) {
         lock.lock();
         try {
-            leavingAddresses = Set.copyOf(addresses);
+            targets.noteLeaving(addresses);
         } finally {
             lock.unlock();
         }
@@ -114,7 +87,7 @@
             retries.earn();
             hedges.earn();
             if (waiting.size() == 0) {
-                TargetState target = pick(call, now, 0, Set.of());
+                TargetState target = targets.pick(now, baselineNanos(call.request()), 0, Set.of());
                 if (target != null) {
                     return new Admission.Assigned(assign(call, target, now));
                 }
@@ -140,7 +113,7 @@
             if (!retries.tryTake()) {
                 return new Admission.Refused(ErrorKind.OVERLOADED);
             }
-            TargetState target = pick(call, now, 0, failed);
+            TargetState target = targets.pick(now, baselineNanos(call.request()), 0, failed);
             if (target != null) {
                 return new Admission.Assigned(assign(call, target, now));
             }
@@ -155,7 +128,7 @@
         lock.lock();
         try {
             long now = time.nanos();
-            TargetState target = targets.get(assignment.target().id());
+            TargetState target = targets.find(assignment.target().id());
             if (target != null && target.finish(assignment)) {
                 apply(target, assignment, result, now);
             }
@@ -208,7 +181,8 @@
             if (!allowed) {
                 return Optional.empty();
             }
-            TargetState target = pick(call, now, 0, Set.of(first.target().id()));
+            TargetState target = targets.pick(
+                    now, baselineNanos(call.request()), 0, Set.of(first.target().id()));
             if (target == null || !hedges.tryTake()) {
                 return Optional.empty();
             }
@@ -232,17 +206,7 @@
     public ImmutableList<TargetView> targets() {
         lock.lock();
         try {
-            long now = time.nanos();
-            ImmutableList.Builder<TargetView> views = ImmutableList.builder();
-            for (TargetState target : targets.values()) {
-                views.add(new TargetView(
-                        target.config().id(),
-                        target.inFlight(),
-                        target.limit(),
-                        target.score(now, 0),
-                        target.mayServe(now)));
-            }
-            return views.build();
+            return targets.views(time.nanos());
         } finally {
             lock.unlock();
         }
@@ -261,11 +225,7 @@
     /** Returns the time until an answer for a call with {@code ahead} calls before it, as the baseline has it. */
     private double expectedWaitNanos(Call call, double ahead, long now) {
         long baseline = baselineNanos(call.request());
-        int slots = 0;
-        for (TargetState target : targets.values()) {
-            slots += target.mayServe(now) ? target.limit() : 0;
-        }
-        return baseline * (ahead / Math.max(1, slots) + 1);
+        return baseline * (ahead / Math.max(1, targets.usableSlots(now)) + 1);
     }
 
     private Dispatch drain(long now) {
@@ -285,7 +245,7 @@
                 expired.add(call);
                 continue;
             }
-            TargetState target = pick(call, now, waiting.size(), Set.of());
+            TargetState target = targets.pick(now, baselineNanos(call.request()), waiting.size(), Set.of());
             if (target == null) {
                 break;
             }
@@ -295,39 +255,6 @@
         return new Dispatch(assigned.build(), expired.build());
     }
 
-    /**
-     * Picks a target. One that failed is tried again by a real call, and only as often as the measuring budget allows;
-     * where no other is left, all that failed serve all the same.
-     */
-    private @Nullable TargetState pick(Call call, long now, int queued, Set<String> excluded) {
-        List<TargetState> serving = new ArrayList<>(targets.size());
-        List<TargetState> failing = new ArrayList<>();
-        TargetState trial = null;
-        for (TargetState target : targets.values()) {
-            if (excluded.contains(target.config().id()) || isLeaving(target, now)) {
-                continue;
-            }
-            if (!target.isEjected()) {
-                serving.add(target);
-                continue;
-            }
-            failing.add(target);
-            if (target.mayServe(now)) {
-                trial = target;
-            }
-        }
-        if (trial != null && measuring.trySpend(TRIAL_COST_NANOS)) {
-            return trial;
-        }
-        return picker.pick(serving.isEmpty() ? failing : serving, now, baselineNanos(call.request()), queued);
-    }
-
-    private boolean isLeaving(TargetState target, long now) {
-        return target.isLeaving(now)
-                || leavingAddresses.contains(target.config().address())
-                || leavingAddresses.contains(target.config().host());
-    }
-
     private Assignment assign(Call call, TargetState target, long now) {
         Assignment assignment = new Assignment(nextAssignmentId++, call, target.config(), now);
         target.start(assignment);
@@ -341,7 +268,7 @@
         switch (result) {
             case CallResult.Answered answered -> {
                 if (answered.failed()) {
-                    target.onFailure(now, false, mayEjectMore());
+                    target.onFailure(now, false, targets.mayEjectMore());
                 } else {
                     baseline(request).add(elapsed);
                     target.onAnswer(now, elapsed, before, answered.reportedInFlight());
@@ -352,7 +279,7 @@
             }
             case CallResult.Shed shed -> {
                 target.onShed();
-                target.onFailure(now, false, mayEjectMore());
+                target.onFailure(now, false, targets.mayEjectMore());
                 if (shed.leaving()) {
                     target.onDraining(now);
                 }
@@ -364,14 +291,6 @@
         }
     }
 
-    private boolean mayEjectMore() {
-        int ejected = 0;
-        for (TargetState target : targets.values()) {
-            ejected += target.isEjected() ? 1 : 0;
-        }
-        return (ejected + 1) * PERCENT <= targets.size() * MOST_EJECTED_PERCENT;
-    }
-
     private ClassBaseline baseline(RequestConfig request) {
         return baselines.computeIfAbsent(request.name(), name -> new ClassBaseline());
     }
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/TargetSet.java
@@ -0,0 +1,129 @@
+package io.anvilpick.routing;
+
+import com.google.common.collect.ImmutableList;
+import io.anvilpick.config.ServiceConfig;
+import io.anvilpick.config.TargetConfig;
+import io.anvilpick.limits.PacedBudget;
+import io.anvilpick.time.TimeSource;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** The targets of one service, and which of them a call may go to. Guarded by the dispatcher's lock. */
+final class TargetSet {
+    /** Time of a target that a call to it counts as measuring where the target may still be failing. */
+    private static final long TRIAL_COST_NANOS = 6_000_000;
+
+    private static final int MOST_EJECTED_PERCENT = 50;
+    private static final int PERCENT = 100;
+
+    private final TargetPicker picker;
+    private final PacedBudget measuring;
+    private Map<String, TargetState> targets = new LinkedHashMap<>();
+    private Set<String> leavingAddresses = Set.of();
+    private boolean configured;
+
+    TargetSet(TargetPicker picker, TimeSource time) {
+        this.picker = picker;
+        this.measuring = PacedBudget.perMilleOfSlots(time, 0, 0);
+    }
+
+    boolean isEmpty() {
+        return targets.isEmpty();
+    }
+
+    /** Puts the targets of {@code service} in force; what was learnt of those that stay is kept. */
+    void configure(ServiceConfig service, long now) {
+        Map<String, TargetState> next = new LinkedHashMap<>();
+        for (TargetConfig target : service.targets()) {
+            TargetState known = targets.get(target.id());
+            boolean same = known != null && known.config().address().equals(target.address());
+            next.put(
+                    target.id(),
+                    same
+                            ? known.reconfigured(target, service.slotsPerTarget(), now)
+                            : new TargetState(target, service.slotsPerTarget(), !configured, now));
+        }
+        targets = next;
+        configured = true;
+        measuring.resize(service.measuringPerMille(), (double) service.slotsPerTarget() * next.size());
+    }
+
+    /** Notes which hosts or addresses the platform lists as leaving. */
+    void noteLeaving(Set<String> addresses) {
+        leavingAddresses = Set.copyOf(addresses);
+    }
+
+    @Nullable
+    TargetState find(String id) {
+        return targets.get(id);
+    }
+
+    /** Returns the calls that targets which serve may have in flight together. */
+    int usableSlots(long now) {
+        int slots = 0;
+        for (TargetState target : targets.values()) {
+            slots += target.mayServe(now) ? target.limit() : 0;
+        }
+        return slots;
+    }
+
+    ImmutableList<TargetView> views(long now) {
+        ImmutableList.Builder<TargetView> views = ImmutableList.builder();
+        for (TargetState target : targets.values()) {
+            views.add(new TargetView(
+                    target.config().id(),
+                    target.inFlight(),
+                    target.limit(),
+                    target.score(now, 0),
+                    target.mayServe(now)));
+        }
+        return views.build();
+    }
+
+    /**
+     * Picks a target. One that failed is tried again by a real call, and only as often as the measuring budget allows;
+     * where no other is left, all that failed serve all the same.
+     */
+    @Nullable
+    TargetState pick(long now, long baselineNanos, int queued, Set<String> excluded) {
+        List<TargetState> serving = new ArrayList<>(targets.size());
+        List<TargetState> failing = new ArrayList<>();
+        TargetState trial = null;
+        for (TargetState target : targets.values()) {
+            if (excluded.contains(target.config().id()) || isLeaving(target, now)) {
+                continue;
+            }
+            if (!target.isEjected()) {
+                serving.add(target);
+                continue;
+            }
+            failing.add(target);
+            if (target.mayServe(now)) {
+                trial = target;
+            }
+        }
+        if (trial != null && measuring.trySpend(TRIAL_COST_NANOS)) {
+            return trial;
+        }
+        return picker.pick(serving.isEmpty() ? failing : serving, now, baselineNanos, queued);
+    }
+
+    private boolean isLeaving(TargetState target, long now) {
+        return target.isLeaving(now)
+                || leavingAddresses.contains(target.config().address())
+                || leavingAddresses.contains(target.config().host());
+    }
+
+    /** Returns whether another doubtful target may be ejected, as far as the capacity that is left goes. */
+    boolean mayEjectMore() {
+        int ejected = 0;
+        for (TargetState target : targets.values()) {
+            ejected += target.isEjected() ? 1 : 0;
+        }
+        return (ejected + 1) * PERCENT <= targets.size() * MOST_EJECTED_PERCENT;
+    }
+}
--- a/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
@@ -3,15 +3,8 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import com.google.protobuf.ByteString;
-import io.anvilpick.claims.Claim;
-import io.anvilpick.claims.ClaimGroup;
-import io.anvilpick.claims.ClaimKey;
 import io.anvilpick.claims.ClaimMap;
-import io.anvilpick.claims.ClaimState;
-import io.anvilpick.claims.KeptAnswer;
 import io.anvilpick.claims.SealedGroup;
-import io.anvilpick.claims.Vote;
 import io.anvilpick.config.SignedHead;
 import io.anvilpick.crashes.CrashReport;
 import io.anvilpick.membership.LeavingList;
@@ -42,19 +35,19 @@
                 envelope.setClaimVote(PeerProto.ClaimVote.newBuilder()
                                 .setGroup(vote.group())
                                 .setEpoch(vote.epoch())
-                                .setClaim(encode(vote.claim())))
+                                .setClaim(ClaimCodec.encode(vote.claim())))
                         .build();
             case ClaimSettleRequest settle ->
                 envelope.setClaimSettle(PeerProto.ClaimSettle.newBuilder()
                                 .setGroup(settle.group())
-                                .setKey(encode(settle.key()))
+                                .setKey(ClaimCodec.encode(settle.key()))
                                 .setHolder(settle.holder())
-                                .setEnd(encode(settle.end())))
+                                .setEnd(ClaimCodec.encode(settle.end())))
                         .build();
             case ClaimReleaseRequest release ->
                 envelope.setClaimRelease(PeerProto.ClaimRelease.newBuilder()
                                 .setGroup(release.group())
-                                .setKey(encode(release.key()))
+                                .setKey(ClaimCodec.encode(release.key()))
                                 .setHolder(release.holder()))
                         .build();
             case SealRequest seal ->
@@ -67,7 +60,7 @@
                                 .setGroup(install.group())
                                 .setEpoch(install.epoch())
                                 .setChangeId(install.changeId())
-                                .addAllClaims(encodeClaims(install.claims())))
+                                .addAllClaims(ClaimCodec.encodeClaims(install.claims())))
                         .build();
             case GossipRequest gossip ->
                 envelope.setGossip(PeerProto.Gossip.newBuilder()
@@ -97,13 +90,14 @@
             case PeerReply.Done ignored ->
                 envelope.setDone(PeerProto.Done.getDefaultInstance()).build();
             case PeerReply.Voted voted ->
-                envelope.setVoted(encode(voted.vote())).build();
+                envelope.setVoted(ClaimCodec.encode(voted.vote())).build();
             case PeerReply.Sealed sealed ->
                 envelope.setSealed(PeerProto.Sealed.newBuilder()
                                 .setGroup(sealed.group().group())
                                 .setEpoch(sealed.group().epoch())
                                 .setHeld(sealed.group().held())
-                                .addAllClaims(encodeClaims(sealed.group().claims())))
+                                .addAllClaims(
+                                        ClaimCodec.encodeClaims(sealed.group().claims())))
                         .build();
             case PeerReply.Installed installed ->
                 envelope.setInstalled(PeerProto.Installed.newBuilder().setKept(installed.kept()))
@@ -125,17 +119,17 @@
                         new ClaimVoteRequest(
                                 envelope.getClaimVote().getGroup(),
                                 envelope.getClaimVote().getEpoch(),
-                                decode(envelope.getClaimVote().getClaim()));
+                                ClaimCodec.decode(envelope.getClaimVote().getClaim()));
                     case CLAIM_SETTLE ->
                         new ClaimSettleRequest(
                                 envelope.getClaimSettle().getGroup(),
-                                decode(envelope.getClaimSettle().getKey()),
+                                ClaimCodec.decode(envelope.getClaimSettle().getKey()),
                                 envelope.getClaimSettle().getHolder(),
-                                decode(envelope.getClaimSettle().getEnd()));
+                                ClaimCodec.decode(envelope.getClaimSettle().getEnd()));
                     case CLAIM_RELEASE ->
                         new ClaimReleaseRequest(
                                 envelope.getClaimRelease().getGroup(),
-                                decode(envelope.getClaimRelease().getKey()),
+                                ClaimCodec.decode(envelope.getClaimRelease().getKey()),
                                 envelope.getClaimRelease().getHolder());
                     case SEAL ->
                         new SealRequest(
@@ -146,7 +140,7 @@
                                 envelope.getInstall().getGroup(),
                                 envelope.getInstall().getEpoch(),
                                 envelope.getInstall().getChangeId(),
-                                decodeClaims(envelope.getInstall().getClaimsList()));
+                                ClaimCodec.decodeClaims(envelope.getInstall().getClaimsList()));
                     case GOSSIP ->
                         new GossipRequest(
                                 envelope.getGossip().getConfigVersion(),
@@ -171,13 +165,13 @@
         PeerReply reply =
                 switch (envelope.getBodyCase()) {
                     case DONE -> new PeerReply.Done();
-                    case VOTED -> new PeerReply.Voted(decode(envelope.getVoted()));
+                    case VOTED -> new PeerReply.Voted(ClaimCodec.decode(envelope.getVoted()));
                     case SEALED ->
                         new PeerReply.Sealed(new SealedGroup(
                                 envelope.getSealed().getGroup(),
                                 envelope.getSealed().getEpoch(),
                                 envelope.getSealed().getHeld(),
-                                decodeClaims(envelope.getSealed().getClaimsList())));
+                                ClaimCodec.decodeClaims(envelope.getSealed().getClaimsList())));
                     case INSTALLED ->
                         new PeerReply.Installed(envelope.getInstalled().getKept());
                     case GOSSIP_REPLY -> decode(envelope.getGossipReply());
@@ -198,110 +192,6 @@
         return Optional.ofNullable(reply);
     }
 
-    private static PeerProto.ClaimKey encode(ClaimKey key) {
-        return PeerProto.ClaimKey.newBuilder()
-                .setService(key.service())
-                .setTenant(key.tenant())
-                .setKey(key.key())
-                .build();
-    }
-
-    private static ClaimKey decode(PeerProto.ClaimKey key) {
-        return new ClaimKey(key.getService(), key.getTenant(), key.getKey());
-    }
-
-    private static PeerProto.ClaimState encode(ClaimState state) {
-        PeerProto.ClaimState.Builder builder = PeerProto.ClaimState.newBuilder();
-        return switch (state) {
-            case ClaimState.Running ignored ->
-                builder.setKind(PeerProto.ClaimState.Kind.RUNNING).build();
-            case ClaimState.Unsettled ignored ->
-                builder.setKind(PeerProto.ClaimState.Kind.UNSETTLED).build();
-            case ClaimState.Done done -> {
-                builder.setKind(PeerProto.ClaimState.Kind.DONE);
-                done.answer().ifPresent(answer -> builder.setAnswer(encode(answer)));
-                yield builder.build();
-            }
-        };
-    }
-
-    private static ClaimState decode(PeerProto.ClaimState state) {
-        return switch (state.getKind()) {
-            case RUNNING -> new ClaimState.Running();
-            case DONE ->
-                new ClaimState.Done(state.hasAnswer() ? Optional.of(decode(state.getAnswer())) : Optional.empty());
-            case UNSETTLED, UNRECOGNIZED -> new ClaimState.Unsettled();
-        };
-    }
-
-    private static PeerProto.KeptAnswer encode(KeptAnswer answer) {
-        return PeerProto.KeptAnswer.newBuilder()
-                .setStatus(answer.status())
-                .setContentType(answer.contentType())
-                .setBody(ByteString.copyFrom(answer.body()))
-                .build();
-    }
-
-    private static KeptAnswer decode(PeerProto.KeptAnswer answer) {
-        return new KeptAnswer(
-                answer.getStatus(), answer.getContentType(), answer.getBody().toByteArray());
-    }
-
-    private static PeerProto.Claim encode(Claim claim) {
-        return PeerProto.Claim.newBuilder()
-                .setKey(encode(claim.key()))
-                .setHolder(claim.holder())
-                .setFingerprint(claim.fingerprint())
-                .setState(encode(claim.state()))
-                .setRunsUntilMillis(claim.runsUntilMillis())
-                .setForgetAtMillis(claim.forgetAtMillis())
-                .build();
-    }
-
-    private static Claim decode(PeerProto.Claim claim) {
-        return new Claim(
-                decode(claim.getKey()),
-                claim.getHolder(),
-                claim.getFingerprint(),
-                decode(claim.getState()),
-                claim.getRunsUntilMillis(),
-                claim.getForgetAtMillis());
-    }
-
-    private static List<PeerProto.Claim> encodeClaims(List<Claim> claims) {
-        return claims.stream().map(PeerCodec::encode).toList();
-    }
-
-    private static ImmutableList<Claim> decodeClaims(List<PeerProto.Claim> claims) {
-        return claims.stream().map(PeerCodec::decode).collect(ImmutableList.toImmutableList());
-    }
-
-    private static PeerProto.Voted encode(Vote vote) {
-        PeerProto.Voted.Builder builder = PeerProto.Voted.newBuilder();
-        return switch (vote) {
-            case Vote.Granted ignored ->
-                builder.setKind(PeerProto.Voted.Kind.GRANTED).build();
-            case Vote.Taken taken ->
-                builder.setKind(PeerProto.Voted.Kind.TAKEN)
-                        .setHolder(encode(taken.holder()))
-                        .build();
-            case Vote.WrongEpoch wrong ->
-                builder.setKind(PeerProto.Voted.Kind.WRONG_EPOCH)
-                        .setEpoch(wrong.epoch())
-                        .build();
-            case Vote.Silent ignored -> throw new IllegalArgumentException("a silent replica sends no vote");
-        };
-    }
-
-    private static Vote decode(PeerProto.Voted voted) {
-        return switch (voted.getKind()) {
-            case GRANTED -> new Vote.Granted();
-            case TAKEN -> new Vote.Taken(decode(voted.getHolder()));
-            case WRONG_EPOCH -> new Vote.WrongEpoch(voted.getEpoch());
-            case UNRECOGNIZED -> new Vote.Silent();
-        };
-    }
-
     private static List<PeerProto.Member> encodeMembers(List<Member> members) {
         return members.stream().map(PeerCodec::encode).toList();
     }
@@ -341,7 +231,7 @@
         gossip.head()
                 .ifPresent(signed -> builder.setHead(
                         PeerProto.SignedHead.newBuilder().setHead(signed.head()).setSignature(signed.signature())));
-        gossip.claimMap().ifPresent(map -> builder.setClaimMap(encode(map)));
+        gossip.claimMap().ifPresent(map -> builder.setClaimMap(ClaimCodec.encode(map)));
         gossip.leaving()
                 .ifPresent(leaving -> builder.setLeaving(PeerProto.LeavingList.newBuilder()
                         .setAsOfMillis(leaving.asOfMillis())
@@ -354,7 +244,8 @@
                 ? Optional.of(new SignedHead(
                         reply.getHead().getHead(), reply.getHead().getSignature()))
                 : Optional.empty();
-        Optional<ClaimMap> map = reply.hasClaimMap() ? Optional.of(decode(reply.getClaimMap())) : Optional.empty();
+        Optional<ClaimMap> map =
+                reply.hasClaimMap() ? Optional.of(ClaimCodec.decode(reply.getClaimMap())) : Optional.empty();
         Optional<LeavingList> leaving = reply.hasLeaving()
                 ? Optional.of(new LeavingList(
                         reply.getLeaving().getAsOfMillis(),
@@ -369,32 +260,6 @@
                 decodeMembers(reply.getMembersList()));
     }
 
-    private static PeerProto.ClaimMap encode(ClaimMap map) {
-        PeerProto.ClaimMap.Builder builder = PeerProto.ClaimMap.newBuilder().setVersion(map.version());
-        for (ClaimGroup group : map.groups()) {
-            builder.addGroups(PeerProto.ClaimGroup.newBuilder()
-                    .setIndex(group.index())
-                    .setEpoch(group.epoch())
-                    .setChangeId(group.changeId())
-                    .setTrustedFromMillis(group.trustedFromMillis())
-                    .addAllReplicas(group.replicas()));
-        }
-        return builder.build();
-    }
-
-    private static ClaimMap decode(PeerProto.ClaimMap map) {
-        ImmutableList.Builder<ClaimGroup> groups = ImmutableList.builder();
-        for (PeerProto.ClaimGroup group : map.getGroupsList()) {
-            groups.add(new ClaimGroup(
-                    group.getIndex(),
-                    group.getEpoch(),
-                    group.getChangeId(),
-                    group.getTrustedFromMillis(),
-                    ImmutableList.copyOf(group.getReplicasList())));
-        }
-        return new ClaimMap(map.getVersion(), groups.build());
-    }
-
     private static PeerProto.PartsReply encode(PeerReply.Parts parts) {
         PeerProto.PartsReply.Builder builder = PeerProto.PartsReply.newBuilder();
         parts.texts()
