--- a/anvilpick-load/src/main/java/io/anvilpick/load/LatencyMain.java
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/LatencyMain.java
@@ -22,6 +22,12 @@
     private static final double MICROS_PER_MILLI = 1_000.0;
     private static final double TARGET_MILLIS = 0.43;
 
+    private static final Kind LOOKUP = new Kind("GET", "/rows");
+    private static final Kind CHARGE = new Kind("POST", "/charges");
+
+    /** A kind of calls. */
+    private record Kind(String method, String path) {}
+
     @Option(name = "--daemon", description = "Address of a daemon")
     private @Nullable String daemon;
 
@@ -53,14 +59,18 @@
         measure(straight, FIRST_WARMUP_SECONDS, WARMUP_PER_SECOND, 0);
         Histogram throughDaemon = new Histogram(3);
         Histogram straightToTarget = new Histogram(3);
+        Histogram charges = new Histogram(3);
+        measure(through, CHARGE, FIRST_WARMUP_SECONDS, PER_SECOND, 0);
         for (int round = 1; round <= ROUNDS; round++) {
             throughDaemon.add(measure(through, SECONDS, PER_SECOND, round));
+            charges.add(measure(through, CHARGE, SECONDS, PER_SECOND, round));
             straightToTarget.add(measure(straight, SECONDS, PER_SECOND, round));
         }
         System.out.println("| | p50 ms | p90 ms | p99 ms |");
         System.out.println("|---|---:|---:|---:|");
         print("through a daemon", throughDaemon);
         print("straight to the target", straightToTarget);
+        print("charge through a daemon, with its claim", charges);
         double added50 = millis(throughDaemon, 50) - millis(straightToTarget, 50);
         double added99 = millis(throughDaemon, 99) - millis(straightToTarget, 99);
         System.out.printf(
@@ -76,7 +86,12 @@
 
     private static Histogram measure(String address, int seconds, double perSecond, int seed)
             throws InterruptedException {
-        CallStream stream = new CallStream("bench", "GET", "/rows", perSecond, "a");
+        return measure(address, LOOKUP, seconds, perSecond, seed);
+    }
+
+    private static Histogram measure(String address, Kind kind, int seconds, double perSecond, int seed)
+            throws InterruptedException {
+        CallStream stream = new CallStream("bench", kind.method(), kind.path(), perSecond, "a");
         LoadRun run = new LoadRun(new LoadSettings(
                 ImmutableList.of(address),
                 true,
--- a/bin/bench-latency.sh
+++ b/bin/bench-latency.sh
@@ -1,7 +1,7 @@
 # Added latency of a call: through a daemon against straight to the target, in one run. Sourced by bin/bench.
 start_platform
 start_farm 4 64 0
-start_fleet latency 2 late-binding
+start_fleet latency 3 late-binding
 accept_questionnaire 4 64
 wait_fleet latency
 sleep 2
