--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/front/CallService.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/front/CallService.java
@@ -9,7 +9,6 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import com.linecorp.armeria.server.HttpService;
-import com.linecorp.armeria.server.RequestTimeoutException;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.anvilpick.calls.CallAnswer;
 import io.anvilpick.calls.CallRequest;
@@ -69,11 +68,7 @@
             CompletableFuture<HttpResponse> response) {
         try {
             Future<?> running = threads.submit(() -> response.complete(answer(context, whole, arrivedNanos)));
-            context.whenRequestCancelling().thenAccept(cause -> {
-                if (!(cause instanceof RequestTimeoutException) || !response.isDone()) {
-                    running.cancel(true);
-                }
-            });
+            context.whenRequestCancelling().thenAccept(cause -> running.cancel(true));
         } catch (RejectedExecutionException e) {
             response.complete(ErrorAnswers.of(ErrorKind.SHUTTING_DOWN, "this daemon is shutting down"));
         }
--- a/anvilpick-it/src/test/java/io/anvilpick/it/TestSystem.java
+++ b/anvilpick-it/src/test/java/io/anvilpick/it/TestSystem.java
@@ -5,6 +5,7 @@
 import io.anvilpick.cli.OperatorCli;
 import io.anvilpick.daemon.DaemonMain;
 import io.anvilpick.load.LoadMain;
+import io.anvilpick.settings.ExitCode;
 import io.anvilpick.standins.PlatformMain;
 import io.anvilpick.standins.ProxyMain;
 import io.anvilpick.standins.TargetMain;
@@ -33,6 +34,7 @@
 
     private static final int FIRST_PORT = 20_000;
     private static final int PORTS = 10_000;
+    private static final int MOST_TRIES = 20;
     private static final Duration PATIENCE = Duration.ofSeconds(60);
     private static final Duration POLL = Duration.ofMillis(50);
     private static int nextPort = (int) (ProcessHandle.current().pid() * 97 % PORTS);
@@ -165,6 +167,18 @@
         return client.output();
     }
 
+    /** Runs the operators' client again and again until it knows how its change ended; returns that exit code. */
+    int operatorUntilKnown(String... arguments) throws Exception {
+        for (int tries = 0; tries < MOST_TRIES; tries++) {
+            RunningProcess client = start("operator" + System.nanoTime(), OperatorCli.class, List.of(arguments));
+            int code = client.exitCode(60);
+            if (code != ExitCode.TRY_AGAIN.code() && code != ExitCode.UNAVAILABLE.code()) {
+                return code;
+            }
+        }
+        throw new AssertionError("the operator never learnt how the change ended");
+    }
+
     /** Writes a questionnaire of one service and accepts it as the version after {@code expected}. */
     void accept(long expected, String extra) throws Exception {
         Path questionnaire = folder.resolve("questionnaire-" + expected + ".yaml");
