--- a/anvilpick-load/src/main/java/io/anvilpick/load/capacity/CapacityMain.java
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/capacity/CapacityMain.java
@@ -22,7 +22,7 @@
     @Option(name = "--slopes", description = "File of slopes")
     private @Nullable String slopes;
 
-    @Option(name = "--page", description = "The capacity page")
+    @Option(name = "--page", description = "The capacity page, to be written anew")
     private @Nullable String page;
 
     @Option(name = "--pure", description = "Measure the pure parts")
@@ -59,7 +59,6 @@
     private ExitCode run() throws PlatformException, ConfigurationException, IOException, InterruptedException {
         SettingsReader reader = new SettingsReader(System.getenv());
         Path file = Path.of(reader.text("--slopes", slopes));
-        Path pageFile = Path.of(reader.text("--page", page));
         List<Slope> measured = new ArrayList<>();
         if (pure) {
             measured.addAll(PureSlopes.heap());
@@ -82,7 +81,9 @@
             return ExitCode.USAGE;
         }
         SlopeFile.merge(file, measured);
-        writePage(pageFile, SlopeFile.read(file));
+        if (page != null) {
+            writePage(Path.of(page), SlopeFile.read(file));
+        }
         return ExitCode.OK;
     }
 
--- a/bin/bench-capacity.sh
+++ b/bin/bench-capacity.sh
@@ -1,9 +1,9 @@
-# Slopes for docs/CAPACITY.md. Sourced by bin/bench.
+# Slopes for docs/CAPACITY.md. Sourced by bin/bench. With --no-pure, the slopes of the pure parts stay as they are.
 slopes=$top/docs/capacity-slopes.json
 page=$top/docs/CAPACITY.md
 
 capacity() {
-    run_program -Xmx2g io.anvilpick.load.capacity.CapacityMain --slopes "$slopes" --page "$page" "$@"
+    run_program -Xmx2g io.anvilpick.load.capacity.CapacityMain --slopes "$slopes" "$@"
 }
 cpu_ticks() { # process id; hundredths of a second of user and system time
     sed 's/.*) //' "/proc/$1/stat" | awk '{print $12 + $13}'
@@ -46,9 +46,11 @@
         measured=$measured,$rate:$(((after - before) * 10000 / seconds))
     done
     echo "bench: processor by rate ${measured#,}" >&2
-    capacity --calls "${measured#,}"
+    capacity --calls "${measured#,}" --page "$page"
 }
 
-capacity --pure
+if [ "${1:-}" != --no-pure ]; then
+    capacity --pure
+fi
 measure_control
 measure_calls
