--- a/anvilpick-core/src/main/java/io/anvilpick/membership/MemberTable.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/membership/MemberTable.java
@@ -60,6 +60,23 @@
         });
     }
 
+    /** Takes in all that {@code digest} tells; beats of members that are not known are passed over. */
+    public void merge(MemberDigest digest) {
+        digest.members().forEach(this::merge);
+        digest.beats().forEach(this::raise);
+    }
+
+    private void raise(MemberBeat told) {
+        long now = time.nanos();
+        rows.withShardOf(told.instance(), shard -> {
+            Row known = shard.get(told.instance());
+            if (known != null && !known.gone() && told.beat() > known.member().beat()) {
+                shard.put(told.instance(), new Row(known.member().withBeat(told.beat()), now, false));
+            }
+            return null;
+        });
+    }
+
     /** Raises the own beat. */
     public void beat() {
         own().ifPresent(member -> merge(member.withBeat(member.beat() + 1)));
--- a/anvilpick-core/src/main/java/io/anvilpick/messages/GossipRequest.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/messages/GossipRequest.java
@@ -1,7 +1,6 @@
 package io.anvilpick.messages;
 
-import com.google.common.collect.ImmutableList;
-import io.anvilpick.membership.Member;
+import io.anvilpick.membership.MemberDigest;
 
 /**
  * Tells what the sender knows and asks for what it lacks.
@@ -9,8 +8,7 @@
  * @param configVersion version of the configuration in force at the sender
  * @param claimMapVersion version of the sender's claim map
  * @param leavingAsOfMillis when the list of leaving VMs that the sender knows was read
- * @param members some of the members that the sender knows, itself among them
+ * @param members some of the members that the sender knows, itself first
  */
-public record GossipRequest(
-        long configVersion, long claimMapVersion, long leavingAsOfMillis, ImmutableList<Member> members)
+public record GossipRequest(long configVersion, long claimMapVersion, long leavingAsOfMillis, MemberDigest members)
         implements PeerRequest {}
--- a/anvilpick-core/src/main/java/io/anvilpick/messages/PeerReply.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/messages/PeerReply.java
@@ -1,13 +1,12 @@
 package io.anvilpick.messages;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.anvilpick.claims.ClaimMap;
 import io.anvilpick.claims.SealedGroup;
 import io.anvilpick.claims.Vote;
 import io.anvilpick.config.SignedHead;
 import io.anvilpick.membership.LeavingList;
-import io.anvilpick.membership.Member;
+import io.anvilpick.membership.MemberDigest;
 import java.util.Optional;
 
 /** What a daemon answers to a {@link PeerRequest}. */
@@ -40,7 +39,7 @@
             Optional<LeavingList> leaving,
             long configVersion,
             long claimMapVersion,
-            ImmutableList<Member> members)
+            MemberDigest members)
             implements PeerReply {}
 
     /** Parts of the configuration by digest, as far as they were found. */
--- a/anvilpick-core/src/main/java/io/anvilpick/replication/ClaimMapStore.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/replication/ClaimMapStore.java
@@ -36,9 +36,11 @@
                 entry.get().revision());
     }
 
-    /** Writes {@code map} if the platform's is still at {@code revision}; returns whether it did. */
-    public boolean replace(long revision, ClaimMap map) throws PlatformException {
+    /** Writes {@code map} if the platform's is still at {@code revision}; returns what is stored then, or empty. */
+    public Optional<Stored> replace(long revision, ClaimMap map) throws PlatformException {
         WriteResult result = platform.compareAndSet(key, revision, codec.encode(map), Platform.NO_LEASE);
-        return result instanceof WriteResult.Written;
+        return result instanceof WriteResult.Written written
+                ? Optional.of(new Stored(map, written.revision()))
+                : Optional.empty();
     }
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/replication/GroupMover.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/replication/GroupMover.java
@@ -1,29 +1,24 @@
 package io.anvilpick.replication;
 
 import com.google.common.collect.ImmutableList;
-import io.anvilpick.claims.Claim;
+import com.google.common.collect.Lists;
 import io.anvilpick.claims.ClaimGroup;
 import io.anvilpick.claims.ClaimMap;
-import io.anvilpick.claims.ClaimUnion;
 import io.anvilpick.claims.GroupChange;
 import io.anvilpick.claims.GroupPlanner;
 import io.anvilpick.config.ConfigurationException;
 import io.anvilpick.membership.MemberTable;
-import io.anvilpick.messages.InstallRequest;
-import io.anvilpick.messages.PeerReply;
-import io.anvilpick.messages.PeerRequest;
-import io.anvilpick.messages.SealRequest;
 import io.anvilpick.platform.PlatformException;
-import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /**
  * Moves groups of claims when daemons come and go. Used by one thread.
@@ -33,7 +28,8 @@
  * is never activated.
  */
 public final class GroupMover {
-    private static final Duration PEER_TIMEOUT = Duration.ofSeconds(2);
+    /** Groups whose claims wait together, from their seal to the write of the map. */
+    private static final int GROUPS_AT_ONCE = 16;
 
     /** A platform that takes longer to answer a read is not trusted to take the write that ends a move. */
     private static final Duration FAST_READ = Duration.ofMillis(250);
@@ -46,6 +42,7 @@
     private final ReplicaCaller replicas;
     private final TimeSource time;
     private final RandomGenerator random;
+    private final Runnable onMoved;
 
     /** How a step ended, for the log. */
     public record Step(int moved, int restarted, int waiting, long version) {
@@ -53,6 +50,19 @@
         public boolean isIdle() {
             return moved + restarted + waiting == 0;
         }
+
+        private Step plus(List<Planned> tried, ImmutableList<ClaimGroup> arrived, long nextVersion) {
+            Set<Integer> indexes = arrived.stream().map(ClaimGroup::index).collect(Collectors.toSet());
+            int restarts = (int) tried.stream()
+                    .filter(planned -> planned.change() instanceof GroupChange.Restart)
+                    .filter(planned -> indexes.contains(planned.group().index()))
+                    .count();
+            return new Step(
+                    moved + arrived.size() - restarts,
+                    restarted + restarts,
+                    waiting + tried.size() - arrived.size(),
+                    nextVersion);
+        }
     }
 
     private record Planned(ClaimGroup group, GroupChange change) {}
@@ -66,6 +76,7 @@
         this.replicas = builder.replicas;
         this.time = builder.time;
         this.random = builder.random;
+        this.onMoved = builder.onMoved;
     }
 
     /** Returns a builder for the mover of the daemon instance {@code self} in {@code region}. */
@@ -114,111 +125,108 @@
         return true;
     }
 
+    /** Writes the map after each few groups, since a group that is sealed serves no call until its new epoch is known. */
     private Step change(ClaimMapStore.Stored stored, GroupPlanner.Fleet fleet, boolean fast)
             throws PlatformException, InterruptedException {
-        String changeId = Long.toHexString(random.nextLong());
-        List<ClaimGroup> groups = new ArrayList<>();
-        int moved = 0;
-        int restarted = 0;
+        List<Planned> due = new ArrayList<>();
         int waiting = 0;
         for (Planned planned : planAll(stored.map(), fleet)) {
-            ClaimGroup group = planned.group();
-            Optional<ClaimGroup> next =
-                    switch (planned.change()) {
-                        case GroupChange.Keep ignored -> Optional.of(group);
-                        case GroupChange.Wait ignored -> Optional.empty();
-                        case GroupChange.Move move ->
-                            fast || isInDanger(group, fleet)
-                                    ? move(group, changeId, move.replicas())
-                                    : Optional.empty();
-                        case GroupChange.Restart restart -> restart(group, changeId, restart.replicas());
-                    };
-            groups.add(next.orElse(group));
-            waiting += next.isEmpty() ? 1 : 0;
-            moved += next.isPresent() && planned.change() instanceof GroupChange.Move ? 1 : 0;
-            restarted += next.isPresent() && planned.change() instanceof GroupChange.Restart ? 1 : 0;
-        }
-        if (moved + restarted == 0) {
-            return new Step(0, 0, waiting, stored.map().version());
-        }
-        ClaimMap next = new ClaimMap(stored.map().version() + 1, ImmutableList.copyOf(groups));
-        if (store.replace(stored.revision(), next)) {
-            maps.offer(next);
+            if (planned.change() instanceof GroupChange.Keep) {
+                continue;
+            }
+            if (mustWait(planned, fleet, fast)) {
+                waiting++;
+                continue;
+            }
+            due.add(planned);
         }
-        return new Step(moved, restarted, waiting, next.version());
-    }
-
-    private static ImmutableList<Planned> planAll(ClaimMap map, GroupPlanner.Fleet fleet) {
-        ImmutableList.Builder<Planned> planned = ImmutableList.builder();
-        for (int index = 0; index < ClaimMap.GROUPS; index++) {
-            ClaimGroup group = map.isEmpty()
-                    ? new ClaimGroup(index, 0, "", 0, ImmutableList.of())
-                    : map.groups().get(index);
-            planned.add(new Planned(group, GroupPlanner.plan(group, fleet)));
+        Step step = new Step(0, 0, waiting, stored.map().version());
+        ClaimMapStore.Stored latest = stored;
+        for (List<Planned> few : Lists.partition(due, GROUPS_AT_ONCE)) {
+            ImmutableList<ClaimGroup> changed = transfer(few, fleet);
+            Optional<ClaimMapStore.Stored> written = write(latest, changed);
+            if (written.isEmpty()) {
+                return step;
+            }
+            latest = written.get();
+            step = step.plus(few, changed, latest.map().version());
         }
-        return planned.build();
+        return step;
     }
 
-    private static boolean isInDanger(ClaimGroup group, GroupPlanner.Fleet fleet) {
-        long reachable =
-                group.replicas().stream().filter(fleet.reachable()::contains).count();
-        return reachable <= group.majority();
+    private static boolean mustWait(Planned planned, GroupPlanner.Fleet fleet, boolean fast) {
+        return switch (planned.change()) {
+            case GroupChange.Keep ignored -> false;
+            case GroupChange.Wait ignored -> true;
+            case GroupChange.Move ignored -> !fast && !isInDanger(planned.group(), fleet);
+            case GroupChange.Restart ignored -> false;
+        };
     }
 
-    private Optional<ClaimGroup> move(ClaimGroup group, String changeId, ImmutableList<String> to)
+    /** Transfers all of {@code few} side by side; returns the groups that arrived. */
+    private ImmutableList<ClaimGroup> transfer(List<Planned> few, GroupPlanner.Fleet fleet)
             throws InterruptedException {
-        ClaimUnion union = seal(group);
-        if (union.sealedReplicas() < group.majority()) {
-            return Optional.empty();
+        GroupTransfer transfer =
+                new GroupTransfer(replicas, time, Long.toHexString(random.nextLong()), fleet.reachable());
+        List<CompletableFuture<Optional<ClaimGroup>>> running = new ArrayList<>();
+        for (Planned planned : few) {
+            ClaimGroup group = planned.group();
+            switch (planned.change()) {
+                case GroupChange.Keep ignored -> {}
+                case GroupChange.Wait ignored -> {}
+                case GroupChange.Move move -> running.add(transfer.move(group, move.replicas()));
+                case GroupChange.Restart restart -> running.add(transfer.restart(group, restart.replicas()));
+            }
         }
-        return install(group, changeId, group.trustedFromMillis(), to, union.claims());
+        ImmutableList.Builder<ClaimGroup> arrived = ImmutableList.builder();
+        for (CompletableFuture<Optional<ClaimGroup>> each : running) {
+            try {
+                each.get().ifPresent(arrived::add);
+            } catch (ExecutionException e) {
+                throw new IllegalStateException("transfer of a group failed", e.getCause());
+            }
+        }
+        return arrived.build();
     }
 
-    private Optional<ClaimGroup> restart(ClaimGroup group, String changeId, ImmutableList<String> to)
-            throws InterruptedException {
-        boolean first = group.epoch() == 0;
-        ClaimUnion union = seal(group);
-        long trustedFrom = first ? 0 : time.epochMillis();
-        return install(group, changeId, trustedFrom, to, union.claims());
+    /** Writes the map with {@code changed} in it; empty if somebody else wrote it first. */
+    private Optional<ClaimMapStore.Stored> write(ClaimMapStore.Stored stored, ImmutableList<ClaimGroup> changed)
+            throws PlatformException {
+        if (changed.isEmpty()) {
+            return Optional.of(stored);
+        }
+        ClaimGroup[] groups = stored.map().isEmpty()
+                ? unmappedGroups()
+                : stored.map().groups().toArray(ClaimGroup[]::new);
+        changed.forEach(group -> groups[group.index()] = group);
+        ClaimMap next = new ClaimMap(stored.map().version() + 1, ImmutableList.copyOf(groups));
+        Optional<ClaimMapStore.Stored> written = store.replace(stored.revision(), next);
+        if (written.isPresent()) {
+            maps.offer(next);
+            onMoved.run();
+        }
+        return written;
     }
 
-    private ClaimUnion seal(ClaimGroup group) throws InterruptedException {
-        ClaimUnion union = new ClaimUnion();
-        for (PeerReply reply : askAll(group.replicas(), new SealRequest(group.index(), group.epoch()))) {
-            if (reply instanceof PeerReply.Sealed sealed) {
-                union.add(sealed.group());
-            }
+    private static ClaimGroup[] unmappedGroups() {
+        ClaimGroup[] groups = new ClaimGroup[ClaimMap.GROUPS];
+        for (int index = 0; index < groups.length; index++) {
+            groups[index] = new ClaimGroup(index, 0, "", 0, ImmutableList.of());
         }
-        return union;
+        return groups;
     }
 
-    private Optional<ClaimGroup> install(
-            ClaimGroup group, String changeId, long trustedFrom, ImmutableList<String> to, ImmutableList<Claim> claims)
-            throws InterruptedException {
-        ClaimGroup next = new ClaimGroup(group.index(), group.epoch() + 1, changeId, trustedFrom, to);
-        int kept = 0;
-        for (PeerReply reply : askAll(to, new InstallRequest(group.index(), next.epoch(), changeId, claims))) {
-            kept += reply instanceof PeerReply.Installed installed && installed.kept() ? 1 : 0;
-        }
-        return kept >= next.majority() ? Optional.of(next) : Optional.empty();
+    private static ImmutableList<Planned> planAll(ClaimMap map, GroupPlanner.Fleet fleet) {
+        List<ClaimGroup> groups = map.isEmpty() ? List.of(unmappedGroups()) : map.groups();
+        return groups.stream()
+                .map(group -> new Planned(group, GroupPlanner.plan(group, fleet)))
+                .collect(ImmutableList.toImmutableList());
     }
 
-    private List<PeerReply> askAll(Collection<String> instances, PeerRequest request) throws InterruptedException {
-        Deadline deadline = Deadline.after(time, PEER_TIMEOUT);
-        List<CompletableFuture<PeerReply>> asked = new ArrayList<>();
-        for (String instance : instances) {
-            asked.add(replicas.ask(instance, request, deadline));
-        }
-        List<PeerReply> replies = new ArrayList<>();
-        for (CompletableFuture<PeerReply> each : asked) {
-            try {
-                replies.add(each.get());
-            } catch (ExecutionException e) {
-                // A replica that does not answer is left out of the count.
-                continue;
-            }
-        }
-        return replies;
+    private static boolean isInDanger(ClaimGroup group, GroupPlanner.Fleet fleet) {
+        long reachable =
+                group.replicas().stream().filter(fleet.reachable()::contains).count();
+        return reachable <= group.majority();
     }
 
     /** Builds a {@link GroupMover}. Not thread safe. */
@@ -231,6 +239,7 @@
         private ReplicaCaller replicas;
         private TimeSource time;
         private RandomGenerator random;
+        private Runnable onMoved = () -> {};
 
         private Builder(String self, String region) {
             this.self = self;
@@ -273,6 +282,12 @@
             return this;
         }
 
+        /** Sets what is done at once after each write of the map. */
+        public Builder onMoved(Runnable value) {
+            onMoved = value;
+            return this;
+        }
+
         /** Returns the mover. */
         public GroupMover build() {
             return new GroupMover(this);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/Daemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/Daemon.java
@@ -98,7 +98,7 @@
         late.serve(peerService);
         this.gossip = new Gossip(new Gossip.Parts(
                 knowledge, sample, peerClient, new SnapshotAssembler(codec), threads, time, random, settings.seeds()));
-        peerService.onNewsFrom(gossip::fetchNewsFrom);
+        peerService.fetchNewsBy(gossip);
         ReplicaCaller replicas = new ReplicaCaller(self.instance(), members, peerClient, peerService);
         Claimer claimer = new Claimer(claimMaps, replicas, time, random);
         HttpTargetClient targets = new HttpTargetClient(clients, MOST_BODY_BYTES, time, threads);
@@ -198,6 +198,7 @@
                 .replicas(replicas)
                 .time(time)
                 .random(random)
+                .onMoved(gossip::broadcastOwnState)
                 .build();
         return ControlLoops.start(
                 new ControlLoops.Parts(gossip, watch, new Registration(platform, members), mover, claimTable), random);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/Gossip.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/Gossip.java
@@ -9,6 +9,7 @@
 import io.anvilpick.config.SnapshotAssembler;
 import io.anvilpick.membership.Liveness;
 import io.anvilpick.membership.Member;
+import io.anvilpick.membership.MemberDigest;
 import io.anvilpick.membership.MemberTable;
 import io.anvilpick.messages.GossipRequest;
 import io.anvilpick.messages.PartsRequest;
@@ -23,11 +24,16 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Exchanges what daemons know by gossip: each round a few peers drawn at random, and at once on news. Thread safe.
@@ -50,6 +56,8 @@
     private final RandomGenerator random;
     private final ImmutableList<String> seeds;
     private final AtomicBoolean fetching = new AtomicBoolean();
+    private final AtomicReference<@Nullable News> latestNews = new AtomicReference<>();
+    private final Set<String> asked = ConcurrentHashMap.newKeySet();
 
     /** What gossip works with; {@code random} must be thread safe. */
     public record Parts(
@@ -74,18 +82,23 @@
         this.seeds = parts.seeds();
     }
 
-    /** Raises the own beat and exchanges with a few peers, blocking until they have answered or failed. */
-    public void round() throws InterruptedException {
+    /**
+     * Raises the own beat and starts an exchange with a few peers, without waiting for their answers, so that a peer that
+     * does not answer holds up neither the beat nor the others. A peer that still owes an answer is not asked again.
+     */
+    public void round() {
         knowledge.members().beat();
         for (String address : addressesForRound()) {
-            exchange(address, sample.members());
+            if (asked.add(address)) {
+                exchange(address, sample.digest()).whenComplete((done, failure) -> asked.remove(address));
+            }
         }
     }
 
     /** Tells a few peers at once that there is news. */
     public void tellNews() {
         for (Member member : sample.others(PEERS_ON_NEWS)) {
-            peers.ask(member.peerAddress(), request(sample.atMost(1)), Deadline.after(time, TIMEOUT));
+            peers.ask(member.peerAddress(), request(sample.ownDigest()), Deadline.after(time, TIMEOUT));
         }
     }
 
@@ -99,28 +112,46 @@
         }
     }
 
-    /** Tells every member of the region that this daemon is leaving. */
+    /** Tells every member of the region at once what versions this daemon knows, and whether it is leaving. */
     public void broadcastOwnState() {
-        broadcast(request(sample.atMost(1)));
+        broadcast(request(sample.ownDigest()));
     }
 
-    /** Fetches what {@code member} knows beyond this daemon, on another thread, unless it is fetching already. */
-    public void fetchNewsFrom(Member member) {
-        if (!fetching.compareAndSet(false, true)) {
+    /**
+     * Fetches what the source of {@code news} knows beyond this daemon, on another thread. While it fetches already, the
+     * latest news is kept, and fetched afterwards if this daemon still lacks it.
+     */
+    void fetch(News news) {
+        latestNews.set(news);
+        if (fetching.compareAndSet(false, true)) {
+            threads.execute(this::fetchLatest);
+        }
+    }
+
+    private void fetchLatest() {
+        News news = latestNews.getAndSet(null);
+        if (news == null || !isNews(news)) {
+            fetching.set(false);
+            fetchWhatCameMeanwhile();
             return;
         }
-        threads.execute(() -> {
-            try {
-                exchange(member.peerAddress(), sample.atMost(1));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            } finally {
-                fetching.set(false);
-            }
-        });
+        exchange(news.source().peerAddress(), sample.ownDigest())
+                .whenComplete((done, failure) -> threads.execute(this::fetchLatest));
+    }
+
+    /** News that came between the last look and the end of fetching would otherwise wait for the next round. */
+    private void fetchWhatCameMeanwhile() {
+        if (latestNews.get() != null && fetching.compareAndSet(false, true)) {
+            threads.execute(this::fetchLatest);
+        }
+    }
+
+    private boolean isNews(News news) {
+        return news.configVersion() > knowledge.inForce().version()
+                || news.claimMapVersion() > knowledge.claimMaps().current().version();
     }
 
-    private GossipRequest request(ImmutableList<Member> told) {
+    private GossipRequest request(MemberDigest told) {
         return new GossipRequest(
                 knowledge.inForce().version(),
                 knowledge.claimMaps().current().version(),
@@ -142,24 +173,28 @@
         return addresses;
     }
 
-    private void exchange(String address, ImmutableList<Member> told) throws InterruptedException {
-        try {
-            PeerReply reply = peers.ask(address, request(told), Deadline.after(time, TIMEOUT))
-                    .get();
-            if (reply instanceof PeerReply.Gossip gossip) {
-                take(address, gossip);
-            }
-        } catch (ExecutionException e) {
-            if (e.getCause() instanceof PeerException failure && failure.refused()) {
-                markGone(address, Optional.empty());
-            }
+    /** Asks the peer at {@code address}; the future completes once its answer has been taken in, or has failed. */
+    private CompletableFuture<Void> exchange(String address, MemberDigest told) {
+        return peers.ask(address, request(told), Deadline.after(time, TIMEOUT))
+                .thenAcceptAsync(reply -> take(address, reply), threads)
+                .whenComplete((done, failure) -> noteFailure(address, failure));
+    }
+
+    private void noteFailure(String address, @Nullable Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof PeerException peerFailure && peerFailure.refused()) {
+            markGone(address, Optional.empty());
         }
     }
 
-    private void take(String address, PeerReply.Gossip gossip) throws InterruptedException {
-        gossip.members().forEach(knowledge.members()::merge);
-        if (!gossip.members().isEmpty()) {
-            markGone(address, Optional.of(gossip.members().get(0).instance()));
+    private void take(String address, PeerReply reply) {
+        if (!(reply instanceof PeerReply.Gossip gossip)) {
+            return;
+        }
+        knowledge.members().merge(gossip.members());
+        ImmutableList<Member> told = gossip.members().members();
+        if (!told.isEmpty()) {
+            markGone(address, Optional.of(told.get(0).instance()));
         }
         gossip.leaving().ifPresent(knowledge::offerLeaving);
         boolean news = gossip.claimMap().map(knowledge.claimMaps()::offer).orElse(false);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/MemberSample.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/MemberSample.java
@@ -4,6 +4,8 @@
 import com.google.common.collect.ImmutableSet;
 import io.anvilpick.membership.Liveness;
 import io.anvilpick.membership.Member;
+import io.anvilpick.membership.MemberBeat;
+import io.anvilpick.membership.MemberDigest;
 import io.anvilpick.membership.MemberTable;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -14,6 +16,7 @@
 /** Draws the members that a gossip message tells of: this daemon first, then a bounded number of others. Thread safe. */
 public final class MemberSample {
     private static final int MOST_OTHERS = 16;
+    private static final int OTHERS_IN_FULL = 2;
     private static final ImmutableSet<Liveness> TOLD = ImmutableSet.of(Liveness.LIVE, Liveness.LEAVING);
 
     private final MemberTable members;
@@ -25,17 +28,25 @@
         this.random = random;
     }
 
-    /** Returns the members to tell of. */
-    public ImmutableList<Member> members() {
-        return atMost(MOST_OTHERS + 1);
+    /** Returns what a regular message tells: this daemon and a few others in full, and beats of further ones. */
+    public MemberDigest digest() {
+        ImmutableList.Builder<Member> full = ImmutableList.builder();
+        ImmutableList.Builder<MemberBeat> beats = ImmutableList.builder();
+        members.own().ifPresent(full::add);
+        int told = 0;
+        for (Member member : others(MOST_OTHERS)) {
+            if (told++ < OTHERS_IN_FULL || member.leaving()) {
+                full.add(member);
+            } else {
+                beats.add(new MemberBeat(member.instance(), member.beat()));
+            }
+        }
+        return new MemberDigest(full.build(), beats.build());
     }
 
-    /** Returns this daemon and at most {@code most - 1} others. */
-    public ImmutableList<Member> atMost(int most) {
-        ImmutableList.Builder<Member> sample = ImmutableList.builder();
-        members.own().ifPresent(sample::add);
-        sample.addAll(others(Math.clamp(most - 1L, 0, MOST_OTHERS)));
-        return sample.build();
+    /** Returns what a message tells that carries news in a hurry: this daemon alone. */
+    public MemberDigest ownDigest() {
+        return MemberDigest.of(members.own().map(ImmutableList::of).orElse(ImmutableList.of()));
     }
 
     /** Returns at most {@code most} members other than this daemon that are live or leaving, drawn at random. */
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/PeerService.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/PeerService.java
@@ -1,6 +1,5 @@
 package io.anvilpick.daemon.control;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.anvilpick.calls.CrashGuard;
 import io.anvilpick.claims.ClaimMap;
@@ -9,6 +8,7 @@
 import io.anvilpick.config.Snapshot;
 import io.anvilpick.membership.LeavingList;
 import io.anvilpick.membership.Member;
+import io.anvilpick.membership.MemberDigest;
 import io.anvilpick.messages.AcquitRequest;
 import io.anvilpick.messages.ClaimReleaseRequest;
 import io.anvilpick.messages.ClaimSettleRequest;
@@ -29,7 +29,7 @@
     private final Knowledge knowledge;
     private final ClaimTable claims;
     private final MemberSample sample;
-    private volatile Consumer<Member> onNewsFrom = member -> {};
+    private volatile Consumer<News> onNews = news -> {};
     private volatile Optional<CrashGuard> crashes = Optional.empty();
 
     /** Creates a service that answers from what the daemon knows and holds. */
@@ -39,9 +39,9 @@
         this.sample = sample;
     }
 
-    /** Sets who is told of a member that knows more than this daemon. */
-    public void onNewsFrom(Consumer<Member> listener) {
-        onNewsFrom = listener;
+    /** Sets who is told of members that know more than this daemon. */
+    public void fetchNewsBy(Gossip gossip) {
+        onNews = gossip::fetch;
     }
 
     /** Sets who is told of crashes. */
@@ -109,13 +109,14 @@
     }
 
     private PeerReply gossip(GossipRequest gossip) {
-        gossip.members().forEach(knowledge.members()::merge);
+        knowledge.members().merge(gossip.members());
         long version = knowledge.inForce().version();
         ClaimMap map = knowledge.claimMaps().current();
         LeavingList leaving = knowledge.leaving();
         boolean senderKnowsMore = gossip.configVersion() > version || gossip.claimMapVersion() > map.version();
-        if (senderKnowsMore && !gossip.members().isEmpty()) {
-            onNewsFrom.accept(gossip.members().get(0));
+        if (senderKnowsMore && !gossip.members().members().isEmpty()) {
+            Member sender = gossip.members().members().get(0);
+            onNews.accept(new News(sender, gossip.configVersion(), gossip.claimMapVersion()));
         }
         Optional<SignedHead> head = knowledge
                 .inForce()
@@ -126,7 +127,7 @@
         Optional<LeavingList> newerLeaving =
                 Optional.of(leaving).filter(mine -> mine.asOfMillis() > gossip.leavingAsOfMillis());
         // News travels light: whoever tells of no other members is told of none.
-        ImmutableList<Member> members = sample.atMost(gossip.members().size());
+        MemberDigest members = gossip.members().tellsOfOthers() ? sample.digest() : sample.ownDigest();
         return new PeerReply.Gossip(head, newerMap, newerLeaving, version, map.version(), members);
     }
 
--- /dev/null
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/control/GossipTest.java
@@ -0,0 +1,195 @@
+package io.anvilpick.daemon.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import io.anvilpick.calls.DispatcherRegistry;
+import io.anvilpick.claims.ClaimMap;
+import io.anvilpick.claims.ClaimTable;
+import io.anvilpick.config.ConfigurationCodec;
+import io.anvilpick.config.InForce;
+import io.anvilpick.config.SnapshotAssembler;
+import io.anvilpick.membership.Liveness;
+import io.anvilpick.membership.Member;
+import io.anvilpick.membership.MemberBeat;
+import io.anvilpick.membership.MemberDigest;
+import io.anvilpick.membership.MemberTable;
+import io.anvilpick.messages.GossipRequest;
+import io.anvilpick.messages.PeerException;
+import io.anvilpick.messages.PeerReply;
+import io.anvilpick.messages.PeerRequest;
+import io.anvilpick.messages.Peers;
+import io.anvilpick.replication.ClaimMaps;
+import io.anvilpick.routing.Dispatcher;
+import io.anvilpick.time.Deadline;
+import io.anvilpick.time.ManualTimeSource;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class GossipTest {
+    private static final int ROUNDS = 40;
+
+    private final ManualTimeSource time = ManualTimeSource.startingAt(1);
+    private final SplittableRandom random = new SplittableRandom(3);
+    private final MemberTable members = new MemberTable(member(0), time);
+    private final MemberSample sample = new MemberSample(members, random.split());
+    private final FakePeers peers = new FakePeers();
+    private final Gossip gossip = newGossip();
+
+    /** Peers that answer with an own digest, but for those that are silent or refuse. */
+    private static final class FakePeers implements Peers {
+        private final Map<String, Integer> asked = new HashMap<>();
+        private final Map<String, Member> answering = new HashMap<>();
+        private final Map<String, CompletableFuture<PeerReply>> silent = new HashMap<>();
+
+        @Override
+        public CompletableFuture<PeerReply> ask(String address, PeerRequest request, Deadline deadline) {
+            asked.merge(address, 1, Integer::sum);
+            if (silent.containsKey(address)) {
+                return silent.get(address);
+            }
+            Member member = answering.get(address);
+            if (member == null) {
+                return CompletableFuture.failedFuture(new PeerException("refused", true));
+            }
+            Member next = member.withBeat(member.beat() + 1);
+            answering.put(address, next);
+            MemberDigest digest = MemberDigest.of(ImmutableList.of(next));
+            return CompletableFuture.completedFuture(
+                    new PeerReply.Gossip(Optional.empty(), Optional.empty(), Optional.empty(), 0, 0, digest));
+        }
+    }
+
+    private static Member member(int number) {
+        return new Member("m" + number, "m" + number + ":80", "m" + number + ":70", "region", "zone", false, 1);
+    }
+
+    private Gossip newGossip() {
+        ClaimTable claims = new ClaimTable("m0", ClaimMap.GROUPS, time);
+        DispatcherRegistry dispatchers = new DispatcherRegistry(
+                () -> Dispatcher.builder().time(time).random(random.split()).build());
+        return new Gossip(new Gossip.Parts(
+                new Knowledge(new InForce(), new ClaimMaps(claims), members, dispatchers),
+                sample,
+                peers,
+                new SnapshotAssembler(new ConfigurationCodec()),
+                Runnable::run,
+                time,
+                random.split(),
+                ImmutableList.of()));
+    }
+
+    private void answer(int number) {
+        peers.answering.put(member(number).peerAddress(), member(number));
+        members.merge(member(number));
+    }
+
+    private CompletableFuture<PeerReply> keepSilent(int number) {
+        CompletableFuture<PeerReply> answer = new CompletableFuture<>();
+        peers.silent.put(member(number).peerAddress(), answer);
+        members.merge(member(number));
+        return answer;
+    }
+
+    private Liveness livenessOf(int number) {
+        return members.find("m" + number).orElseThrow().liveness();
+    }
+
+    @Test
+    void silentPeerHoldsUpNeitherTheOwnBeatNorTheOtherPeers() {
+        keepSilent(1);
+        answer(2);
+        answer(3);
+        long before = members.own().orElseThrow().beat();
+        for (int round = 0; round < ROUNDS; round++) {
+            gossip.round();
+            time.advance(MemberTable.SUSPECT_AFTER.dividedBy(6));
+        }
+        assertEquals(before + ROUNDS, members.own().orElseThrow().beat());
+        assertEquals(Liveness.LIVE, livenessOf(2));
+        assertEquals(Liveness.LIVE, livenessOf(3));
+        assertEquals(Liveness.SUSPECT, livenessOf(1));
+        assertEquals(1, peers.asked.get("m1:70"), "a peer that owes an answer is not asked again");
+    }
+
+    @Test
+    void peerThatOwedAnAnswerIsAskedAgainAfterItFailed() {
+        CompletableFuture<PeerReply> answer = keepSilent(1);
+        gossip.round();
+        gossip.round();
+        answer.completeExceptionally(new PeerException("late", false));
+        gossip.round();
+        assertEquals(2, peers.asked.get("m1:70"));
+        assertEquals(Liveness.LIVE, livenessOf(1), "a lost answer alone is no proof that the member is gone");
+    }
+
+    @Test
+    void peerWhosePortRefusesIsGone() {
+        members.merge(member(1));
+        gossip.round();
+        assertEquals(Liveness.GONE, livenessOf(1));
+    }
+
+    @Test
+    void digestTellsOfAFewInFullAndOfOthersByBeat() {
+        for (int i = 1; i < 8; i++) {
+            members.merge(member(i));
+        }
+        MemberDigest digest = sample.digest();
+        assertEquals("m0", digest.members().get(0).instance());
+        assertEquals(3, digest.members().size());
+        assertEquals(5, digest.beats().size());
+        assertTrue(digest.tellsOfOthers());
+        assertFalse(sample.ownDigest().tellsOfOthers());
+    }
+
+    @Test
+    void noBeatOvertakesTheWordThatAMemberLeaves() {
+        for (int i = 1; i < 8; i++) {
+            members.merge(member(i).asLeaving(9));
+        }
+        MemberDigest digest = sample.digest();
+        assertEquals(8, digest.members().size());
+        assertEquals(ImmutableList.of(), digest.beats());
+        MemberTable other = new MemberTable(member(9), time);
+        other.merge(member(1));
+        other.merge(digest);
+        assertEquals(Liveness.LEAVING, other.find("m1").orElseThrow().liveness());
+    }
+
+    @Test
+    void beatKeepsAKnownMemberLiveAndMakesNoUnknownOne() {
+        members.merge(member(1));
+        time.advance(MemberTable.SUSPECT_AFTER.plusMillis(1));
+        assertEquals(Liveness.SUSPECT, livenessOf(1));
+        members.merge(new MemberDigest(
+                ImmutableList.of(), ImmutableList.of(new MemberBeat("m1", 2), new MemberBeat("stranger", 7))));
+        assertEquals(Liveness.LIVE, livenessOf(1));
+        assertTrue(members.find("stranger").isEmpty());
+        assertEquals(2, members.all().size());
+    }
+
+    @Test
+    void peersLearnFromARequestAsWellAsFromItsReply() {
+        GossipRequest request = new GossipRequest(0, 0, 0, MemberDigest.of(ImmutableList.of(member(5))));
+        PeerService service = new PeerService(
+                new Knowledge(
+                        new InForce(),
+                        new ClaimMaps(new ClaimTable("m0", ClaimMap.GROUPS, time)),
+                        members,
+                        new DispatcherRegistry(() ->
+                                Dispatcher.builder().time(time).random(random).build())),
+                new ClaimTable("m0", ClaimMap.GROUPS, time),
+                sample);
+        PeerReply.Gossip reply = (PeerReply.Gossip) service.handle(request);
+        assertEquals(Liveness.LIVE, livenessOf(5));
+        assertEquals("m0", reply.members().members().get(0).instance());
+        assertFalse(reply.members().tellsOfOthers(), "who tells of no others is told of none");
+    }
+}
--- a/anvilpick-load/src/main/java/io/anvilpick/load/capacity/SpreadMain.java
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/capacity/SpreadMain.java
@@ -10,7 +10,7 @@
     private SpreadMain() {}
 
     /** Runs the program. */
-    public static void main(String[] args) throws ConfigurationException, InterruptedException {
+    public static void main(String[] args) throws ConfigurationException {
         System.out.println("| daemons in the region | worst ms to all | messages a daemon | bytes a daemon"
                 + " | idle bytes a second a daemon | false suspects |");
         System.out.println("|---:|---:|---:|---:|---:|---:|");
--- a/anvilpick-load/src/main/java/io/anvilpick/load/capacity/SpreadModel.java
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/capacity/SpreadModel.java
@@ -80,7 +80,7 @@
     }
 
     /** Spreads one version in a region of {@code daemons}. */
-    static Result run(int daemons, long seed) throws ConfigurationException, InterruptedException {
+    static Result run(int daemons, long seed) throws ConfigurationException {
         SpreadModel model = new SpreadModel(seed);
         Snapshot first = SampleState.snapshot(SERVICES, 1);
         Snapshot second = SampleState.snapshot(SERVICES, 2);
@@ -129,11 +129,11 @@
                 time,
                 random.split(),
                 ImmutableList.of()));
-        service.onNewsFrom(gossip::fetchNewsFrom);
+        service.fetchNewsBy(gossip);
         return new Node(own, table, inForce, service, gossip);
     }
 
-    private double idleBytesPerSecond() throws InterruptedException {
+    private double idleBytesPerSecond() {
         int rounds = IDLE_ROUNDS;
         for (int i = 0; i < rounds; i++) {
             round();
@@ -145,8 +145,7 @@
         return perDaemon;
     }
 
-    private Result spread(Snapshot second, double idleBytesPerSecond, double falseSuspects)
-            throws InterruptedException {
+    private Result spread(Snapshot second, double idleBytesPerSecond, double falseSuspects) {
         long start = time.nanos();
         for (Node watcher : nodes.subList(0, Math.min(WATCHERS, nodes.size()))) {
             watcher.inForce().offer(second);
@@ -174,12 +173,12 @@
         return suspects / nodes.size() / nodes.size();
     }
 
-    private void round() throws InterruptedException {
+    private void round() {
         for (Node node : nodes) {
             node.gossip().round();
         }
-        time.advance(ROUND);
         settle();
+        time.advance(ROUND);
     }
 
     /** Lets news travel on: all fetches that are due run in one step, the next ones a hop later. */
--- a/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
@@ -9,6 +9,8 @@
 import io.anvilpick.crashes.CrashReport;
 import io.anvilpick.membership.LeavingList;
 import io.anvilpick.membership.Member;
+import io.anvilpick.membership.MemberBeat;
+import io.anvilpick.membership.MemberDigest;
 import io.anvilpick.messages.AcquitRequest;
 import io.anvilpick.messages.ClaimReleaseRequest;
 import io.anvilpick.messages.ClaimSettleRequest;
@@ -21,7 +23,6 @@
 import io.anvilpick.messages.PeerRequest;
 import io.anvilpick.messages.SealRequest;
 import io.anvilpick.peer.wire.PeerProto;
-import java.util.List;
 import java.util.Optional;
 
 /** Turns requests and replies into protobuf messages and back. */
@@ -67,7 +68,7 @@
                                 .setConfigVersion(gossip.configVersion())
                                 .setClaimMapVersion(gossip.claimMapVersion())
                                 .setLeavingAsOfMillis(gossip.leavingAsOfMillis())
-                                .addAllMembers(encodeMembers(gossip.members())))
+                                .setMembers(encode(gossip.members())))
                         .build();
             case PartsRequest parts ->
                 envelope.setParts(PeerProto.Parts.newBuilder().addAllDigests(parts.digests()))
@@ -146,7 +147,7 @@
                                 envelope.getGossip().getConfigVersion(),
                                 envelope.getGossip().getClaimMapVersion(),
                                 envelope.getGossip().getLeavingAsOfMillis(),
-                                decodeMembers(envelope.getGossip().getMembersList()));
+                                decode(envelope.getGossip().getMembers()));
                     case PARTS ->
                         new PartsRequest(ImmutableSet.copyOf(envelope.getParts().getDigestsList()));
                     case CRASH ->
@@ -192,8 +193,14 @@
         return Optional.ofNullable(reply);
     }
 
-    private static List<PeerProto.Member> encodeMembers(List<Member> members) {
-        return members.stream().map(PeerCodec::encode).toList();
+    private static PeerProto.MemberDigest encode(MemberDigest digest) {
+        PeerProto.MemberDigest.Builder builder = PeerProto.MemberDigest.newBuilder();
+        digest.members().forEach(member -> builder.addMembers(encode(member)));
+        digest.beats()
+                .forEach(told -> builder.addBeats(PeerProto.MemberBeat.newBuilder()
+                        .setInstance(told.instance())
+                        .setBeat(told.beat())));
+        return builder.build();
     }
 
     private static PeerProto.Member encode(Member member) {
@@ -208,26 +215,30 @@
                 .build();
     }
 
-    private static ImmutableList<Member> decodeMembers(List<PeerProto.Member> members) {
-        ImmutableList.Builder<Member> decoded = ImmutableList.builder();
-        for (PeerProto.Member member : members) {
-            decoded.add(new Member(
-                    member.getInstance(),
-                    member.getCallAddress(),
-                    member.getPeerAddress(),
-                    member.getRegion(),
-                    member.getZone(),
-                    member.getLeaving(),
-                    member.getBeat()));
-        }
-        return decoded.build();
+    private static MemberDigest decode(PeerProto.MemberDigest digest) {
+        ImmutableList.Builder<Member> members = ImmutableList.builder();
+        digest.getMembersList().forEach(member -> members.add(decode(member)));
+        ImmutableList.Builder<MemberBeat> beats = ImmutableList.builder();
+        digest.getBeatsList().forEach(told -> beats.add(new MemberBeat(told.getInstance(), told.getBeat())));
+        return new MemberDigest(members.build(), beats.build());
+    }
+
+    private static Member decode(PeerProto.Member member) {
+        return new Member(
+                member.getInstance(),
+                member.getCallAddress(),
+                member.getPeerAddress(),
+                member.getRegion(),
+                member.getZone(),
+                member.getLeaving(),
+                member.getBeat());
     }
 
     private static PeerProto.GossipReply encode(PeerReply.Gossip gossip) {
         PeerProto.GossipReply.Builder builder = PeerProto.GossipReply.newBuilder()
                 .setConfigVersion(gossip.configVersion())
                 .setClaimMapVersion(gossip.claimMapVersion())
-                .addAllMembers(encodeMembers(gossip.members()));
+                .setMembers(encode(gossip.members()));
         gossip.head()
                 .ifPresent(signed -> builder.setHead(
                         PeerProto.SignedHead.newBuilder().setHead(signed.head()).setSignature(signed.signature())));
@@ -252,12 +263,7 @@
                         ImmutableSet.copyOf(reply.getLeaving().getAddressesList())))
                 : Optional.empty();
         return new PeerReply.Gossip(
-                head,
-                map,
-                leaving,
-                reply.getConfigVersion(),
-                reply.getClaimMapVersion(),
-                decodeMembers(reply.getMembersList()));
+                head, map, leaving, reply.getConfigVersion(), reply.getClaimMapVersion(), decode(reply.getMembers()));
     }
 
     private static PeerProto.PartsReply encode(PeerReply.Parts parts) {
--- a/anvilpick-peer/src/main/java/io/anvilpick/peer/wire/PeerProto.java
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/wire/PeerProto.java
@@ -12881,59 +12881,35 @@
 
   }
 
-  public interface GossipOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:anvilpick.peer.Gossip)
+  public interface MemberBeatOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:anvilpick.peer.MemberBeat)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>int64 config_version = 1;</code>
-     * @return The configVersion.
-     */
-    long getConfigVersion();
-
-    /**
-     * <code>int64 claim_map_version = 2;</code>
-     * @return The claimMapVersion.
-     */
-    long getClaimMapVersion();
-
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 3;</code>
-     */
-    java.util.List<io.anvilpick.peer.wire.PeerProto.Member> 
-        getMembersList();
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 3;</code>
-     */
-    io.anvilpick.peer.wire.PeerProto.Member getMembers(int index);
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 3;</code>
-     */
-    int getMembersCount();
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 3;</code>
+     * <code>string instance = 1;</code>
+     * @return The instance.
      */
-    java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
-        getMembersOrBuilderList();
+    java.lang.String getInstance();
     /**
-     * <code>repeated .anvilpick.peer.Member members = 3;</code>
+     * <code>string instance = 1;</code>
+     * @return The bytes for instance.
      */
-    io.anvilpick.peer.wire.PeerProto.MemberOrBuilder getMembersOrBuilder(
-        int index);
+    com.google.protobuf.ByteString
+        getInstanceBytes();
 
     /**
-     * <code>int64 leaving_as_of_millis = 4;</code>
-     * @return The leavingAsOfMillis.
+     * <code>int64 beat = 2;</code>
+     * @return The beat.
      */
-    long getLeavingAsOfMillis();
+    long getBeat();
   }
   /**
-   * Protobuf type {@code anvilpick.peer.Gossip}
+   * Protobuf type {@code anvilpick.peer.MemberBeat}
    */
-  public static final class Gossip extends
+  public static final class MemberBeat extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:anvilpick.peer.Gossip)
-      GossipOrBuilder {
+      // @@protoc_insertion_point(message_implements:anvilpick.peer.MemberBeat)
+      MemberBeatOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -12942,101 +12918,77 @@
         /* minor= */ 33,
         /* patch= */ 4,
         /* suffix= */ "",
-        "Gossip");
+        "MemberBeat");
     }
-    // Use Gossip.newBuilder() to construct.
-    private Gossip(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use MemberBeat.newBuilder() to construct.
+    private MemberBeat(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private Gossip() {
-      members_ = java.util.Collections.emptyList();
+    private MemberBeat() {
+      instance_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Gossip_descriptor;
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_MemberBeat_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Gossip_fieldAccessorTable
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_MemberBeat_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              io.anvilpick.peer.wire.PeerProto.Gossip.class, io.anvilpick.peer.wire.PeerProto.Gossip.Builder.class);
-    }
-
-    public static final int CONFIG_VERSION_FIELD_NUMBER = 1;
-    private long configVersion_ = 0L;
-    /**
-     * <code>int64 config_version = 1;</code>
-     * @return The configVersion.
-     */
-    @java.lang.Override
-    public long getConfigVersion() {
-      return configVersion_;
+              io.anvilpick.peer.wire.PeerProto.MemberBeat.class, io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder.class);
     }
 
-    public static final int CLAIM_MAP_VERSION_FIELD_NUMBER = 2;
-    private long claimMapVersion_ = 0L;
-    /**
-     * <code>int64 claim_map_version = 2;</code>
-     * @return The claimMapVersion.
-     */
-    @java.lang.Override
-    public long getClaimMapVersion() {
-      return claimMapVersion_;
-    }
-
-    public static final int MEMBERS_FIELD_NUMBER = 3;
+    public static final int INSTANCE_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private java.util.List<io.anvilpick.peer.wire.PeerProto.Member> members_;
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 3;</code>
-     */
-    @java.lang.Override
-    public java.util.List<io.anvilpick.peer.wire.PeerProto.Member> getMembersList() {
-      return members_;
-    }
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 3;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
-        getMembersOrBuilderList() {
-      return members_;
-    }
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 3;</code>
-     */
-    @java.lang.Override
-    public int getMembersCount() {
-      return members_.size();
-    }
+    private volatile java.lang.Object instance_ = "";
     /**
-     * <code>repeated .anvilpick.peer.Member members = 3;</code>
+     * <code>string instance = 1;</code>
+     * @return The instance.
      */
     @java.lang.Override
-    public io.anvilpick.peer.wire.PeerProto.Member getMembers(int index) {
-      return members_.get(index);
+    public java.lang.String getInstance() {
+      java.lang.Object ref = instance_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        instance_ = s;
+        return s;
+      }
     }
     /**
-     * <code>repeated .anvilpick.peer.Member members = 3;</code>
+     * <code>string instance = 1;</code>
+     * @return The bytes for instance.
      */
     @java.lang.Override
-    public io.anvilpick.peer.wire.PeerProto.MemberOrBuilder getMembersOrBuilder(
-        int index) {
-      return members_.get(index);
+    public com.google.protobuf.ByteString
+        getInstanceBytes() {
+      java.lang.Object ref = instance_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        instance_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
 
-    public static final int LEAVING_AS_OF_MILLIS_FIELD_NUMBER = 4;
-    private long leavingAsOfMillis_ = 0L;
+    public static final int BEAT_FIELD_NUMBER = 2;
+    private long beat_ = 0L;
     /**
-     * <code>int64 leaving_as_of_millis = 4;</code>
-     * @return The leavingAsOfMillis.
+     * <code>int64 beat = 2;</code>
+     * @return The beat.
      */
     @java.lang.Override
-    public long getLeavingAsOfMillis() {
-      return leavingAsOfMillis_;
+    public long getBeat() {
+      return beat_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -13053,17 +13005,11 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (configVersion_ != 0L) {
-        output.writeInt64(1, configVersion_);
-      }
-      if (claimMapVersion_ != 0L) {
-        output.writeInt64(2, claimMapVersion_);
-      }
-      for (int i = 0; i < members_.size(); i++) {
-        output.writeMessage(3, members_.get(i));
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, instance_);
       }
-      if (leavingAsOfMillis_ != 0L) {
-        output.writeInt64(4, leavingAsOfMillis_);
+      if (beat_ != 0L) {
+        output.writeInt64(2, beat_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -13074,21 +13020,12 @@
       if (size != -1) return size;
 
       size = 0;
-      if (configVersion_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(1, configVersion_);
-      }
-      if (claimMapVersion_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(2, claimMapVersion_);
-      }
-      for (int i = 0; i < members_.size(); i++) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(3, members_.get(i));
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, instance_);
       }
-      if (leavingAsOfMillis_ != 0L) {
+      if (beat_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(4, leavingAsOfMillis_);
+          .computeInt64Size(2, beat_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -13100,19 +13037,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.Gossip)) {
+      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.MemberBeat)) {
         return super.equals(obj);
       }
-      io.anvilpick.peer.wire.PeerProto.Gossip other = (io.anvilpick.peer.wire.PeerProto.Gossip) obj;
+      io.anvilpick.peer.wire.PeerProto.MemberBeat other = (io.anvilpick.peer.wire.PeerProto.MemberBeat) obj;
 
-      if (getConfigVersion()
-          != other.getConfigVersion()) return false;
-      if (getClaimMapVersion()
-          != other.getClaimMapVersion()) return false;
-      if (!getMembersList()
-          .equals(other.getMembersList())) return false;
-      if (getLeavingAsOfMillis()
-          != other.getLeavingAsOfMillis()) return false;
+      if (!getInstance()
+          .equals(other.getInstance())) return false;
+      if (getBeat()
+          != other.getBeat()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -13124,62 +13057,54 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getConfigVersion());
-      hash = (37 * hash) + CLAIM_MAP_VERSION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getClaimMapVersion());
-      if (getMembersCount() > 0) {
-        hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
-        hash = (53 * hash) + getMembersList().hashCode();
-      }
-      hash = (37 * hash) + LEAVING_AS_OF_MILLIS_FIELD_NUMBER;
+      hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
+      hash = (53 * hash) + getInstance().hashCode();
+      hash = (37 * hash) + BEAT_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getLeavingAsOfMillis());
+          getBeat());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(byte[] data)
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(java.io.InputStream input)
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -13187,26 +13112,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseDelimitedFrom(java.io.InputStream input)
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseDelimitedFrom(
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -13219,7 +13144,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.Gossip prototype) {
+    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.MemberBeat prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -13235,26 +13160,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code anvilpick.peer.Gossip}
+     * Protobuf type {@code anvilpick.peer.MemberBeat}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:anvilpick.peer.Gossip)
-        io.anvilpick.peer.wire.PeerProto.GossipOrBuilder {
+        // @@protoc_insertion_point(builder_implements:anvilpick.peer.MemberBeat)
+        io.anvilpick.peer.wire.PeerProto.MemberBeatOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Gossip_descriptor;
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_MemberBeat_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Gossip_fieldAccessorTable
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_MemberBeat_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                io.anvilpick.peer.wire.PeerProto.Gossip.class, io.anvilpick.peer.wire.PeerProto.Gossip.Builder.class);
+                io.anvilpick.peer.wire.PeerProto.MemberBeat.class, io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder.class);
       }
 
-      // Construct using io.anvilpick.peer.wire.PeerProto.Gossip.newBuilder()
+      // Construct using io.anvilpick.peer.wire.PeerProto.MemberBeat.newBuilder()
       private Builder() {
 
       }
@@ -13268,33 +13193,25 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        configVersion_ = 0L;
-        claimMapVersion_ = 0L;
-        if (membersBuilder_ == null) {
-          members_ = java.util.Collections.emptyList();
-        } else {
-          members_ = null;
-          membersBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000004);
-        leavingAsOfMillis_ = 0L;
+        instance_ = "";
+        beat_ = 0L;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Gossip_descriptor;
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_MemberBeat_descriptor;
       }
 
       @java.lang.Override
-      public io.anvilpick.peer.wire.PeerProto.Gossip getDefaultInstanceForType() {
-        return io.anvilpick.peer.wire.PeerProto.Gossip.getDefaultInstance();
+      public io.anvilpick.peer.wire.PeerProto.MemberBeat getDefaultInstanceForType() {
+        return io.anvilpick.peer.wire.PeerProto.MemberBeat.getDefaultInstance();
       }
 
       @java.lang.Override
-      public io.anvilpick.peer.wire.PeerProto.Gossip build() {
-        io.anvilpick.peer.wire.PeerProto.Gossip result = buildPartial();
+      public io.anvilpick.peer.wire.PeerProto.MemberBeat build() {
+        io.anvilpick.peer.wire.PeerProto.MemberBeat result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -13302,50 +13219,1920 @@
       }
 
       @java.lang.Override
-      public io.anvilpick.peer.wire.PeerProto.Gossip buildPartial() {
-        io.anvilpick.peer.wire.PeerProto.Gossip result = new io.anvilpick.peer.wire.PeerProto.Gossip(this);
-        buildPartialRepeatedFields(result);
+      public io.anvilpick.peer.wire.PeerProto.MemberBeat buildPartial() {
+        io.anvilpick.peer.wire.PeerProto.MemberBeat result = new io.anvilpick.peer.wire.PeerProto.MemberBeat(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartialRepeatedFields(io.anvilpick.peer.wire.PeerProto.Gossip result) {
-        if (membersBuilder_ == null) {
-          if (((bitField0_ & 0x00000004) != 0)) {
-            members_ = java.util.Collections.unmodifiableList(members_);
-            bitField0_ = (bitField0_ & ~0x00000004);
-          }
-          result.members_ = members_;
-        } else {
-          result.members_ = membersBuilder_.build();
-        }
-      }
-
-      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.Gossip result) {
+      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.MemberBeat result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.configVersion_ = configVersion_;
+          result.instance_ = instance_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.claimMapVersion_ = claimMapVersion_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.leavingAsOfMillis_ = leavingAsOfMillis_;
+          result.beat_ = beat_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof io.anvilpick.peer.wire.PeerProto.Gossip) {
-          return mergeFrom((io.anvilpick.peer.wire.PeerProto.Gossip)other);
+        if (other instanceof io.anvilpick.peer.wire.PeerProto.MemberBeat) {
+          return mergeFrom((io.anvilpick.peer.wire.PeerProto.MemberBeat)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.Gossip other) {
+      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.MemberBeat other) {
+        if (other == io.anvilpick.peer.wire.PeerProto.MemberBeat.getDefaultInstance()) return this;
+        if (!other.getInstance().isEmpty()) {
+          instance_ = other.instance_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getBeat() != 0L) {
+          setBeat(other.getBeat());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                instance_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                beat_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object instance_ = "";
+      /**
+       * <code>string instance = 1;</code>
+       * @return The instance.
+       */
+      public java.lang.String getInstance() {
+        java.lang.Object ref = instance_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          instance_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string instance = 1;</code>
+       * @return The bytes for instance.
+       */
+      public com.google.protobuf.ByteString
+          getInstanceBytes() {
+        java.lang.Object ref = instance_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          instance_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string instance = 1;</code>
+       * @param value The instance to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInstance(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        instance_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string instance = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearInstance() {
+        instance_ = getDefaultInstance().getInstance();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string instance = 1;</code>
+       * @param value The bytes for instance to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInstanceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        instance_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long beat_ ;
+      /**
+       * <code>int64 beat = 2;</code>
+       * @return The beat.
+       */
+      @java.lang.Override
+      public long getBeat() {
+        return beat_;
+      }
+      /**
+       * <code>int64 beat = 2;</code>
+       * @param value The beat to set.
+       * @return This builder for chaining.
+       */
+      public Builder setBeat(long value) {
+
+        beat_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 beat = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearBeat() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        beat_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.MemberBeat)
+    }
+
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.MemberBeat)
+    private static final io.anvilpick.peer.wire.PeerProto.MemberBeat DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.MemberBeat();
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.MemberBeat getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<MemberBeat>
+        PARSER = new com.google.protobuf.AbstractParser<MemberBeat>() {
+      @java.lang.Override
+      public MemberBeat parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<MemberBeat> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<MemberBeat> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.MemberBeat getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface MemberDigestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:anvilpick.peer.MemberDigest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated .anvilpick.peer.Member members = 1;</code>
+     */
+    java.util.List<io.anvilpick.peer.wire.PeerProto.Member> 
+        getMembersList();
+    /**
+     * <code>repeated .anvilpick.peer.Member members = 1;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.Member getMembers(int index);
+    /**
+     * <code>repeated .anvilpick.peer.Member members = 1;</code>
+     */
+    int getMembersCount();
+    /**
+     * <code>repeated .anvilpick.peer.Member members = 1;</code>
+     */
+    java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
+        getMembersOrBuilderList();
+    /**
+     * <code>repeated .anvilpick.peer.Member members = 1;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.MemberOrBuilder getMembersOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Of members that are not leaving.
+     * </pre>
+     *
+     * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+     */
+    java.util.List<io.anvilpick.peer.wire.PeerProto.MemberBeat> 
+        getBeatsList();
+    /**
+     * <pre>
+     * Of members that are not leaving.
+     * </pre>
+     *
+     * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.MemberBeat getBeats(int index);
+    /**
+     * <pre>
+     * Of members that are not leaving.
+     * </pre>
+     *
+     * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+     */
+    int getBeatsCount();
+    /**
+     * <pre>
+     * Of members that are not leaving.
+     * </pre>
+     *
+     * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+     */
+    java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberBeatOrBuilder> 
+        getBeatsOrBuilderList();
+    /**
+     * <pre>
+     * Of members that are not leaving.
+     * </pre>
+     *
+     * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.MemberBeatOrBuilder getBeatsOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code anvilpick.peer.MemberDigest}
+   */
+  public static final class MemberDigest extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:anvilpick.peer.MemberDigest)
+      MemberDigestOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "MemberDigest");
+    }
+    // Use MemberDigest.newBuilder() to construct.
+    private MemberDigest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private MemberDigest() {
+      members_ = java.util.Collections.emptyList();
+      beats_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_MemberDigest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_MemberDigest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.anvilpick.peer.wire.PeerProto.MemberDigest.class, io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder.class);
+    }
+
+    public static final int MEMBERS_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private java.util.List<io.anvilpick.peer.wire.PeerProto.Member> members_;
+    /**
+     * <code>repeated .anvilpick.peer.Member members = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.anvilpick.peer.wire.PeerProto.Member> getMembersList() {
+      return members_;
+    }
+    /**
+     * <code>repeated .anvilpick.peer.Member members = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
+        getMembersOrBuilderList() {
+      return members_;
+    }
+    /**
+     * <code>repeated .anvilpick.peer.Member members = 1;</code>
+     */
+    @java.lang.Override
+    public int getMembersCount() {
+      return members_.size();
+    }
+    /**
+     * <code>repeated .anvilpick.peer.Member members = 1;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.Member getMembers(int index) {
+      return members_.get(index);
+    }
+    /**
+     * <code>repeated .anvilpick.peer.Member members = 1;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.MemberOrBuilder getMembersOrBuilder(
+        int index) {
+      return members_.get(index);
+    }
+
+    public static final int BEATS_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private java.util.List<io.anvilpick.peer.wire.PeerProto.MemberBeat> beats_;
+    /**
+     * <pre>
+     * Of members that are not leaving.
+     * </pre>
+     *
+     * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.anvilpick.peer.wire.PeerProto.MemberBeat> getBeatsList() {
+      return beats_;
+    }
+    /**
+     * <pre>
+     * Of members that are not leaving.
+     * </pre>
+     *
+     * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberBeatOrBuilder> 
+        getBeatsOrBuilderList() {
+      return beats_;
+    }
+    /**
+     * <pre>
+     * Of members that are not leaving.
+     * </pre>
+     *
+     * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+     */
+    @java.lang.Override
+    public int getBeatsCount() {
+      return beats_.size();
+    }
+    /**
+     * <pre>
+     * Of members that are not leaving.
+     * </pre>
+     *
+     * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.MemberBeat getBeats(int index) {
+      return beats_.get(index);
+    }
+    /**
+     * <pre>
+     * Of members that are not leaving.
+     * </pre>
+     *
+     * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.MemberBeatOrBuilder getBeatsOrBuilder(
+        int index) {
+      return beats_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < members_.size(); i++) {
+        output.writeMessage(1, members_.get(i));
+      }
+      for (int i = 0; i < beats_.size(); i++) {
+        output.writeMessage(2, beats_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      for (int i = 0; i < members_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, members_.get(i));
+      }
+      for (int i = 0; i < beats_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, beats_.get(i));
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.MemberDigest)) {
+        return super.equals(obj);
+      }
+      io.anvilpick.peer.wire.PeerProto.MemberDigest other = (io.anvilpick.peer.wire.PeerProto.MemberDigest) obj;
+
+      if (!getMembersList()
+          .equals(other.getMembersList())) return false;
+      if (!getBeatsList()
+          .equals(other.getBeatsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getMembersCount() > 0) {
+        hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
+        hash = (53 * hash) + getMembersList().hashCode();
+      }
+      if (getBeatsCount() > 0) {
+        hash = (37 * hash) + BEATS_FIELD_NUMBER;
+        hash = (53 * hash) + getBeatsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.MemberDigest prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code anvilpick.peer.MemberDigest}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:anvilpick.peer.MemberDigest)
+        io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_MemberDigest_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_MemberDigest_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.anvilpick.peer.wire.PeerProto.MemberDigest.class, io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder.class);
+      }
+
+      // Construct using io.anvilpick.peer.wire.PeerProto.MemberDigest.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (membersBuilder_ == null) {
+          members_ = java.util.Collections.emptyList();
+        } else {
+          members_ = null;
+          membersBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
+        if (beatsBuilder_ == null) {
+          beats_ = java.util.Collections.emptyList();
+        } else {
+          beats_ = null;
+          beatsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000002);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_MemberDigest_descriptor;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.MemberDigest getDefaultInstanceForType() {
+        return io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.MemberDigest build() {
+        io.anvilpick.peer.wire.PeerProto.MemberDigest result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.MemberDigest buildPartial() {
+        io.anvilpick.peer.wire.PeerProto.MemberDigest result = new io.anvilpick.peer.wire.PeerProto.MemberDigest(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(io.anvilpick.peer.wire.PeerProto.MemberDigest result) {
+        if (membersBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            members_ = java.util.Collections.unmodifiableList(members_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.members_ = members_;
+        } else {
+          result.members_ = membersBuilder_.build();
+        }
+        if (beatsBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0)) {
+            beats_ = java.util.Collections.unmodifiableList(beats_);
+            bitField0_ = (bitField0_ & ~0x00000002);
+          }
+          result.beats_ = beats_;
+        } else {
+          result.beats_ = beatsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.MemberDigest result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.anvilpick.peer.wire.PeerProto.MemberDigest) {
+          return mergeFrom((io.anvilpick.peer.wire.PeerProto.MemberDigest)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.MemberDigest other) {
+        if (other == io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance()) return this;
+        if (membersBuilder_ == null) {
+          if (!other.members_.isEmpty()) {
+            if (members_.isEmpty()) {
+              members_ = other.members_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensureMembersIsMutable();
+              members_.addAll(other.members_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.members_.isEmpty()) {
+            if (membersBuilder_.isEmpty()) {
+              membersBuilder_.dispose();
+              membersBuilder_ = null;
+              members_ = other.members_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              membersBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetMembersFieldBuilder() : null;
+            } else {
+              membersBuilder_.addAllMessages(other.members_);
+            }
+          }
+        }
+        if (beatsBuilder_ == null) {
+          if (!other.beats_.isEmpty()) {
+            if (beats_.isEmpty()) {
+              beats_ = other.beats_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+            } else {
+              ensureBeatsIsMutable();
+              beats_.addAll(other.beats_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.beats_.isEmpty()) {
+            if (beatsBuilder_.isEmpty()) {
+              beatsBuilder_.dispose();
+              beatsBuilder_ = null;
+              beats_ = other.beats_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+              beatsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetBeatsFieldBuilder() : null;
+            } else {
+              beatsBuilder_.addAllMessages(other.beats_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                io.anvilpick.peer.wire.PeerProto.Member m =
+                    input.readMessage(
+                        io.anvilpick.peer.wire.PeerProto.Member.parser(),
+                        extensionRegistry);
+                if (membersBuilder_ == null) {
+                  ensureMembersIsMutable();
+                  members_.add(m);
+                } else {
+                  membersBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+              case 18: {
+                io.anvilpick.peer.wire.PeerProto.MemberBeat m =
+                    input.readMessage(
+                        io.anvilpick.peer.wire.PeerProto.MemberBeat.parser(),
+                        extensionRegistry);
+                if (beatsBuilder_ == null) {
+                  ensureBeatsIsMutable();
+                  beats_.add(m);
+                } else {
+                  beatsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.util.List<io.anvilpick.peer.wire.PeerProto.Member> members_ =
+        java.util.Collections.emptyList();
+      private void ensureMembersIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          members_ = new java.util.ArrayList<io.anvilpick.peer.wire.PeerProto.Member>(members_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.Member, io.anvilpick.peer.wire.PeerProto.Member.Builder, io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> membersBuilder_;
+
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public java.util.List<io.anvilpick.peer.wire.PeerProto.Member> getMembersList() {
+        if (membersBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(members_);
+        } else {
+          return membersBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public int getMembersCount() {
+        if (membersBuilder_ == null) {
+          return members_.size();
+        } else {
+          return membersBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.Member getMembers(int index) {
+        if (membersBuilder_ == null) {
+          return members_.get(index);
+        } else {
+          return membersBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public Builder setMembers(
+          int index, io.anvilpick.peer.wire.PeerProto.Member value) {
+        if (membersBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureMembersIsMutable();
+          members_.set(index, value);
+          onChanged();
+        } else {
+          membersBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public Builder setMembers(
+          int index, io.anvilpick.peer.wire.PeerProto.Member.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          membersBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public Builder addMembers(io.anvilpick.peer.wire.PeerProto.Member value) {
+        if (membersBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureMembersIsMutable();
+          members_.add(value);
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public Builder addMembers(
+          int index, io.anvilpick.peer.wire.PeerProto.Member value) {
+        if (membersBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureMembersIsMutable();
+          members_.add(index, value);
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public Builder addMembers(
+          io.anvilpick.peer.wire.PeerProto.Member.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.add(builderForValue.build());
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public Builder addMembers(
+          int index, io.anvilpick.peer.wire.PeerProto.Member.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public Builder addAllMembers(
+          java.lang.Iterable<? extends io.anvilpick.peer.wire.PeerProto.Member> values) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, members_);
+          onChanged();
+        } else {
+          membersBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public Builder clearMembers() {
+        if (membersBuilder_ == null) {
+          members_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          membersBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public Builder removeMembers(int index) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.remove(index);
+          onChanged();
+        } else {
+          membersBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.Member.Builder getMembersBuilder(
+          int index) {
+        return internalGetMembersFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.MemberOrBuilder getMembersOrBuilder(
+          int index) {
+        if (membersBuilder_ == null) {
+          return members_.get(index);  } else {
+          return membersBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
+           getMembersOrBuilderList() {
+        if (membersBuilder_ != null) {
+          return membersBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(members_);
+        }
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.Member.Builder addMembersBuilder() {
+        return internalGetMembersFieldBuilder().addBuilder(
+            io.anvilpick.peer.wire.PeerProto.Member.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.Member.Builder addMembersBuilder(
+          int index) {
+        return internalGetMembersFieldBuilder().addBuilder(
+            index, io.anvilpick.peer.wire.PeerProto.Member.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .anvilpick.peer.Member members = 1;</code>
+       */
+      public java.util.List<io.anvilpick.peer.wire.PeerProto.Member.Builder> 
+           getMembersBuilderList() {
+        return internalGetMembersFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.Member, io.anvilpick.peer.wire.PeerProto.Member.Builder, io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
+          internalGetMembersFieldBuilder() {
+        if (membersBuilder_ == null) {
+          membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.Member, io.anvilpick.peer.wire.PeerProto.Member.Builder, io.anvilpick.peer.wire.PeerProto.MemberOrBuilder>(
+                  members_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          members_ = null;
+        }
+        return membersBuilder_;
+      }
+
+      private java.util.List<io.anvilpick.peer.wire.PeerProto.MemberBeat> beats_ =
+        java.util.Collections.emptyList();
+      private void ensureBeatsIsMutable() {
+        if (!((bitField0_ & 0x00000002) != 0)) {
+          beats_ = new java.util.ArrayList<io.anvilpick.peer.wire.PeerProto.MemberBeat>(beats_);
+          bitField0_ |= 0x00000002;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.MemberBeat, io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder, io.anvilpick.peer.wire.PeerProto.MemberBeatOrBuilder> beatsBuilder_;
+
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public java.util.List<io.anvilpick.peer.wire.PeerProto.MemberBeat> getBeatsList() {
+        if (beatsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(beats_);
+        } else {
+          return beatsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public int getBeatsCount() {
+        if (beatsBuilder_ == null) {
+          return beats_.size();
+        } else {
+          return beatsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.MemberBeat getBeats(int index) {
+        if (beatsBuilder_ == null) {
+          return beats_.get(index);
+        } else {
+          return beatsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public Builder setBeats(
+          int index, io.anvilpick.peer.wire.PeerProto.MemberBeat value) {
+        if (beatsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureBeatsIsMutable();
+          beats_.set(index, value);
+          onChanged();
+        } else {
+          beatsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public Builder setBeats(
+          int index, io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder builderForValue) {
+        if (beatsBuilder_ == null) {
+          ensureBeatsIsMutable();
+          beats_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          beatsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public Builder addBeats(io.anvilpick.peer.wire.PeerProto.MemberBeat value) {
+        if (beatsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureBeatsIsMutable();
+          beats_.add(value);
+          onChanged();
+        } else {
+          beatsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public Builder addBeats(
+          int index, io.anvilpick.peer.wire.PeerProto.MemberBeat value) {
+        if (beatsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureBeatsIsMutable();
+          beats_.add(index, value);
+          onChanged();
+        } else {
+          beatsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public Builder addBeats(
+          io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder builderForValue) {
+        if (beatsBuilder_ == null) {
+          ensureBeatsIsMutable();
+          beats_.add(builderForValue.build());
+          onChanged();
+        } else {
+          beatsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public Builder addBeats(
+          int index, io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder builderForValue) {
+        if (beatsBuilder_ == null) {
+          ensureBeatsIsMutable();
+          beats_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          beatsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public Builder addAllBeats(
+          java.lang.Iterable<? extends io.anvilpick.peer.wire.PeerProto.MemberBeat> values) {
+        if (beatsBuilder_ == null) {
+          ensureBeatsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, beats_);
+          onChanged();
+        } else {
+          beatsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public Builder clearBeats() {
+        if (beatsBuilder_ == null) {
+          beats_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000002);
+          onChanged();
+        } else {
+          beatsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public Builder removeBeats(int index) {
+        if (beatsBuilder_ == null) {
+          ensureBeatsIsMutable();
+          beats_.remove(index);
+          onChanged();
+        } else {
+          beatsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder getBeatsBuilder(
+          int index) {
+        return internalGetBeatsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.MemberBeatOrBuilder getBeatsOrBuilder(
+          int index) {
+        if (beatsBuilder_ == null) {
+          return beats_.get(index);  } else {
+          return beatsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberBeatOrBuilder> 
+           getBeatsOrBuilderList() {
+        if (beatsBuilder_ != null) {
+          return beatsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(beats_);
+        }
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder addBeatsBuilder() {
+        return internalGetBeatsFieldBuilder().addBuilder(
+            io.anvilpick.peer.wire.PeerProto.MemberBeat.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder addBeatsBuilder(
+          int index) {
+        return internalGetBeatsFieldBuilder().addBuilder(
+            index, io.anvilpick.peer.wire.PeerProto.MemberBeat.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Of members that are not leaving.
+       * </pre>
+       *
+       * <code>repeated .anvilpick.peer.MemberBeat beats = 2;</code>
+       */
+      public java.util.List<io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder> 
+           getBeatsBuilderList() {
+        return internalGetBeatsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.MemberBeat, io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder, io.anvilpick.peer.wire.PeerProto.MemberBeatOrBuilder> 
+          internalGetBeatsFieldBuilder() {
+        if (beatsBuilder_ == null) {
+          beatsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.MemberBeat, io.anvilpick.peer.wire.PeerProto.MemberBeat.Builder, io.anvilpick.peer.wire.PeerProto.MemberBeatOrBuilder>(
+                  beats_,
+                  ((bitField0_ & 0x00000002) != 0),
+                  getParentForChildren(),
+                  isClean());
+          beats_ = null;
+        }
+        return beatsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.MemberDigest)
+    }
+
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.MemberDigest)
+    private static final io.anvilpick.peer.wire.PeerProto.MemberDigest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.MemberDigest();
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.MemberDigest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<MemberDigest>
+        PARSER = new com.google.protobuf.AbstractParser<MemberDigest>() {
+      @java.lang.Override
+      public MemberDigest parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<MemberDigest> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<MemberDigest> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.MemberDigest getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface GossipOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:anvilpick.peer.Gossip)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>int64 config_version = 1;</code>
+     * @return The configVersion.
+     */
+    long getConfigVersion();
+
+    /**
+     * <code>int64 claim_map_version = 2;</code>
+     * @return The claimMapVersion.
+     */
+    long getClaimMapVersion();
+
+    /**
+     * <code>int64 leaving_as_of_millis = 4;</code>
+     * @return The leavingAsOfMillis.
+     */
+    long getLeavingAsOfMillis();
+
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 5;</code>
+     * @return Whether the members field is set.
+     */
+    boolean hasMembers();
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 5;</code>
+     * @return The members.
+     */
+    io.anvilpick.peer.wire.PeerProto.MemberDigest getMembers();
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 5;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder getMembersOrBuilder();
+  }
+  /**
+   * Protobuf type {@code anvilpick.peer.Gossip}
+   */
+  public static final class Gossip extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:anvilpick.peer.Gossip)
+      GossipOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "Gossip");
+    }
+    // Use Gossip.newBuilder() to construct.
+    private Gossip(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Gossip() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Gossip_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Gossip_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.anvilpick.peer.wire.PeerProto.Gossip.class, io.anvilpick.peer.wire.PeerProto.Gossip.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int CONFIG_VERSION_FIELD_NUMBER = 1;
+    private long configVersion_ = 0L;
+    /**
+     * <code>int64 config_version = 1;</code>
+     * @return The configVersion.
+     */
+    @java.lang.Override
+    public long getConfigVersion() {
+      return configVersion_;
+    }
+
+    public static final int CLAIM_MAP_VERSION_FIELD_NUMBER = 2;
+    private long claimMapVersion_ = 0L;
+    /**
+     * <code>int64 claim_map_version = 2;</code>
+     * @return The claimMapVersion.
+     */
+    @java.lang.Override
+    public long getClaimMapVersion() {
+      return claimMapVersion_;
+    }
+
+    public static final int LEAVING_AS_OF_MILLIS_FIELD_NUMBER = 4;
+    private long leavingAsOfMillis_ = 0L;
+    /**
+     * <code>int64 leaving_as_of_millis = 4;</code>
+     * @return The leavingAsOfMillis.
+     */
+    @java.lang.Override
+    public long getLeavingAsOfMillis() {
+      return leavingAsOfMillis_;
+    }
+
+    public static final int MEMBERS_FIELD_NUMBER = 5;
+    private io.anvilpick.peer.wire.PeerProto.MemberDigest members_;
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 5;</code>
+     * @return Whether the members field is set.
+     */
+    @java.lang.Override
+    public boolean hasMembers() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 5;</code>
+     * @return The members.
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.MemberDigest getMembers() {
+      return members_ == null ? io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance() : members_;
+    }
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 5;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder getMembersOrBuilder() {
+      return members_ == null ? io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance() : members_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (configVersion_ != 0L) {
+        output.writeInt64(1, configVersion_);
+      }
+      if (claimMapVersion_ != 0L) {
+        output.writeInt64(2, claimMapVersion_);
+      }
+      if (leavingAsOfMillis_ != 0L) {
+        output.writeInt64(4, leavingAsOfMillis_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(5, getMembers());
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (configVersion_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(1, configVersion_);
+      }
+      if (claimMapVersion_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, claimMapVersion_);
+      }
+      if (leavingAsOfMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(4, leavingAsOfMillis_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, getMembers());
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.Gossip)) {
+        return super.equals(obj);
+      }
+      io.anvilpick.peer.wire.PeerProto.Gossip other = (io.anvilpick.peer.wire.PeerProto.Gossip) obj;
+
+      if (getConfigVersion()
+          != other.getConfigVersion()) return false;
+      if (getClaimMapVersion()
+          != other.getClaimMapVersion()) return false;
+      if (getLeavingAsOfMillis()
+          != other.getLeavingAsOfMillis()) return false;
+      if (hasMembers() != other.hasMembers()) return false;
+      if (hasMembers()) {
+        if (!getMembers()
+            .equals(other.getMembers())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getConfigVersion());
+      hash = (37 * hash) + CLAIM_MAP_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getClaimMapVersion());
+      hash = (37 * hash) + LEAVING_AS_OF_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLeavingAsOfMillis());
+      if (hasMembers()) {
+        hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
+        hash = (53 * hash) + getMembers().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Gossip parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.Gossip prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code anvilpick.peer.Gossip}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:anvilpick.peer.Gossip)
+        io.anvilpick.peer.wire.PeerProto.GossipOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Gossip_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Gossip_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.anvilpick.peer.wire.PeerProto.Gossip.class, io.anvilpick.peer.wire.PeerProto.Gossip.Builder.class);
+      }
+
+      // Construct using io.anvilpick.peer.wire.PeerProto.Gossip.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetMembersFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        configVersion_ = 0L;
+        claimMapVersion_ = 0L;
+        leavingAsOfMillis_ = 0L;
+        members_ = null;
+        if (membersBuilder_ != null) {
+          membersBuilder_.dispose();
+          membersBuilder_ = null;
+        }
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Gossip_descriptor;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Gossip getDefaultInstanceForType() {
+        return io.anvilpick.peer.wire.PeerProto.Gossip.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Gossip build() {
+        io.anvilpick.peer.wire.PeerProto.Gossip result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Gossip buildPartial() {
+        io.anvilpick.peer.wire.PeerProto.Gossip result = new io.anvilpick.peer.wire.PeerProto.Gossip(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.Gossip result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.configVersion_ = configVersion_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.claimMapVersion_ = claimMapVersion_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.leavingAsOfMillis_ = leavingAsOfMillis_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.members_ = membersBuilder_ == null
+              ? members_
+              : membersBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.anvilpick.peer.wire.PeerProto.Gossip) {
+          return mergeFrom((io.anvilpick.peer.wire.PeerProto.Gossip)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.Gossip other) {
         if (other == io.anvilpick.peer.wire.PeerProto.Gossip.getDefaultInstance()) return this;
         if (other.getConfigVersion() != 0L) {
           setConfigVersion(other.getConfigVersion());
@@ -13353,35 +15140,12 @@
         if (other.getClaimMapVersion() != 0L) {
           setClaimMapVersion(other.getClaimMapVersion());
         }
-        if (membersBuilder_ == null) {
-          if (!other.members_.isEmpty()) {
-            if (members_.isEmpty()) {
-              members_ = other.members_;
-              bitField0_ = (bitField0_ & ~0x00000004);
-            } else {
-              ensureMembersIsMutable();
-              members_.addAll(other.members_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.members_.isEmpty()) {
-            if (membersBuilder_.isEmpty()) {
-              membersBuilder_.dispose();
-              membersBuilder_ = null;
-              members_ = other.members_;
-              bitField0_ = (bitField0_ & ~0x00000004);
-              membersBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetMembersFieldBuilder() : null;
-            } else {
-              membersBuilder_.addAllMessages(other.members_);
-            }
-          }
-        }
         if (other.getLeavingAsOfMillis() != 0L) {
           setLeavingAsOfMillis(other.getLeavingAsOfMillis());
         }
+        if (other.hasMembers()) {
+          mergeMembers(other.getMembers());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -13418,24 +15182,18 @@
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
-              case 26: {
-                io.anvilpick.peer.wire.PeerProto.Member m =
-                    input.readMessage(
-                        io.anvilpick.peer.wire.PeerProto.Member.parser(),
-                        extensionRegistry);
-                if (membersBuilder_ == null) {
-                  ensureMembersIsMutable();
-                  members_.add(m);
-                } else {
-                  membersBuilder_.addMessage(m);
-                }
-                break;
-              } // case 26
               case 32: {
                 leavingAsOfMillis_ = input.readInt64();
-                bitField0_ |= 0x00000008;
+                bitField0_ |= 0x00000004;
                 break;
               } // case 32
+              case 42: {
+                input.readMessage(
+                    internalGetMembersFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 42
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -13517,239 +15275,152 @@
         return this;
       }
 
-      private java.util.List<io.anvilpick.peer.wire.PeerProto.Member> members_ =
-        java.util.Collections.emptyList();
-      private void ensureMembersIsMutable() {
-        if (!((bitField0_ & 0x00000004) != 0)) {
-          members_ = new java.util.ArrayList<io.anvilpick.peer.wire.PeerProto.Member>(members_);
-          bitField0_ |= 0x00000004;
-         }
-      }
-
-      private com.google.protobuf.RepeatedFieldBuilder<
-          io.anvilpick.peer.wire.PeerProto.Member, io.anvilpick.peer.wire.PeerProto.Member.Builder, io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> membersBuilder_;
-
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
-       */
-      public java.util.List<io.anvilpick.peer.wire.PeerProto.Member> getMembersList() {
-        if (membersBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(members_);
-        } else {
-          return membersBuilder_.getMessageList();
-        }
-      }
+      private long leavingAsOfMillis_ ;
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>int64 leaving_as_of_millis = 4;</code>
+       * @return The leavingAsOfMillis.
        */
-      public int getMembersCount() {
-        if (membersBuilder_ == null) {
-          return members_.size();
-        } else {
-          return membersBuilder_.getCount();
-        }
+      @java.lang.Override
+      public long getLeavingAsOfMillis() {
+        return leavingAsOfMillis_;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>int64 leaving_as_of_millis = 4;</code>
+       * @param value The leavingAsOfMillis to set.
+       * @return This builder for chaining.
        */
-      public io.anvilpick.peer.wire.PeerProto.Member getMembers(int index) {
-        if (membersBuilder_ == null) {
-          return members_.get(index);
-        } else {
-          return membersBuilder_.getMessage(index);
-        }
+      public Builder setLeavingAsOfMillis(long value) {
+
+        leavingAsOfMillis_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>int64 leaving_as_of_millis = 4;</code>
+       * @return This builder for chaining.
        */
-      public Builder setMembers(
-          int index, io.anvilpick.peer.wire.PeerProto.Member value) {
-        if (membersBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureMembersIsMutable();
-          members_.set(index, value);
-          onChanged();
-        } else {
-          membersBuilder_.setMessage(index, value);
-        }
+      public Builder clearLeavingAsOfMillis() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        leavingAsOfMillis_ = 0L;
+        onChanged();
         return this;
       }
+
+      private io.anvilpick.peer.wire.PeerProto.MemberDigest members_;
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.MemberDigest, io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder, io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder> membersBuilder_;
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>.anvilpick.peer.MemberDigest members = 5;</code>
+       * @return Whether the members field is set.
        */
-      public Builder setMembers(
-          int index, io.anvilpick.peer.wire.PeerProto.Member.Builder builderForValue) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          membersBuilder_.setMessage(index, builderForValue.build());
-        }
-        return this;
+      public boolean hasMembers() {
+        return ((bitField0_ & 0x00000008) != 0);
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>.anvilpick.peer.MemberDigest members = 5;</code>
+       * @return The members.
        */
-      public Builder addMembers(io.anvilpick.peer.wire.PeerProto.Member value) {
+      public io.anvilpick.peer.wire.PeerProto.MemberDigest getMembers() {
         if (membersBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureMembersIsMutable();
-          members_.add(value);
-          onChanged();
+          return members_ == null ? io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance() : members_;
         } else {
-          membersBuilder_.addMessage(value);
+          return membersBuilder_.getMessage();
         }
-        return this;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>.anvilpick.peer.MemberDigest members = 5;</code>
        */
-      public Builder addMembers(
-          int index, io.anvilpick.peer.wire.PeerProto.Member value) {
+      public Builder setMembers(io.anvilpick.peer.wire.PeerProto.MemberDigest value) {
         if (membersBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
-          }
-          ensureMembersIsMutable();
-          members_.add(index, value);
-          onChanged();
-        } else {
-          membersBuilder_.addMessage(index, value);
-        }
-        return this;
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
-       */
-      public Builder addMembers(
-          io.anvilpick.peer.wire.PeerProto.Member.Builder builderForValue) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.add(builderForValue.build());
-          onChanged();
-        } else {
-          membersBuilder_.addMessage(builderForValue.build());
-        }
-        return this;
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
-       */
-      public Builder addMembers(
-          int index, io.anvilpick.peer.wire.PeerProto.Member.Builder builderForValue) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          membersBuilder_.addMessage(index, builderForValue.build());
-        }
-        return this;
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
-       */
-      public Builder addAllMembers(
-          java.lang.Iterable<? extends io.anvilpick.peer.wire.PeerProto.Member> values) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, members_);
-          onChanged();
-        } else {
-          membersBuilder_.addAllMessages(values);
-        }
-        return this;
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
-       */
-      public Builder clearMembers() {
-        if (membersBuilder_ == null) {
-          members_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000004);
-          onChanged();
+          }
+          members_ = value;
         } else {
-          membersBuilder_.clear();
+          membersBuilder_.setMessage(value);
         }
+        bitField0_ |= 0x00000008;
+        onChanged();
         return this;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>.anvilpick.peer.MemberDigest members = 5;</code>
        */
-      public Builder removeMembers(int index) {
+      public Builder setMembers(
+          io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder builderForValue) {
         if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.remove(index);
-          onChanged();
+          members_ = builderForValue.build();
         } else {
-          membersBuilder_.remove(index);
+          membersBuilder_.setMessage(builderForValue.build());
         }
+        bitField0_ |= 0x00000008;
+        onChanged();
         return this;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
-       */
-      public io.anvilpick.peer.wire.PeerProto.Member.Builder getMembersBuilder(
-          int index) {
-        return internalGetMembersFieldBuilder().getBuilder(index);
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>.anvilpick.peer.MemberDigest members = 5;</code>
        */
-      public io.anvilpick.peer.wire.PeerProto.MemberOrBuilder getMembersOrBuilder(
-          int index) {
+      public Builder mergeMembers(io.anvilpick.peer.wire.PeerProto.MemberDigest value) {
         if (membersBuilder_ == null) {
-          return members_.get(index);  } else {
-          return membersBuilder_.getMessageOrBuilder(index);
+          if (((bitField0_ & 0x00000008) != 0) &&
+            members_ != null &&
+            members_ != io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance()) {
+            getMembersBuilder().mergeFrom(value);
+          } else {
+            members_ = value;
+          }
+        } else {
+          membersBuilder_.mergeFrom(value);
+        }
+        if (members_ != null) {
+          bitField0_ |= 0x00000008;
+          onChanged();
         }
+        return this;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>.anvilpick.peer.MemberDigest members = 5;</code>
        */
-      public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
-           getMembersOrBuilderList() {
+      public Builder clearMembers() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        members_ = null;
         if (membersBuilder_ != null) {
-          return membersBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(members_);
+          membersBuilder_.dispose();
+          membersBuilder_ = null;
         }
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>.anvilpick.peer.MemberDigest members = 5;</code>
        */
-      public io.anvilpick.peer.wire.PeerProto.Member.Builder addMembersBuilder() {
-        return internalGetMembersFieldBuilder().addBuilder(
-            io.anvilpick.peer.wire.PeerProto.Member.getDefaultInstance());
+      public io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder getMembersBuilder() {
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return internalGetMembersFieldBuilder().getBuilder();
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>.anvilpick.peer.MemberDigest members = 5;</code>
        */
-      public io.anvilpick.peer.wire.PeerProto.Member.Builder addMembersBuilder(
-          int index) {
-        return internalGetMembersFieldBuilder().addBuilder(
-            index, io.anvilpick.peer.wire.PeerProto.Member.getDefaultInstance());
+      public io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder getMembersOrBuilder() {
+        if (membersBuilder_ != null) {
+          return membersBuilder_.getMessageOrBuilder();
+        } else {
+          return members_ == null ?
+              io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance() : members_;
+        }
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 3;</code>
+       * <code>.anvilpick.peer.MemberDigest members = 5;</code>
        */
-      public java.util.List<io.anvilpick.peer.wire.PeerProto.Member.Builder> 
-           getMembersBuilderList() {
-        return internalGetMembersFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          io.anvilpick.peer.wire.PeerProto.Member, io.anvilpick.peer.wire.PeerProto.Member.Builder, io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.MemberDigest, io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder, io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder> 
           internalGetMembersFieldBuilder() {
         if (membersBuilder_ == null) {
-          membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              io.anvilpick.peer.wire.PeerProto.Member, io.anvilpick.peer.wire.PeerProto.Member.Builder, io.anvilpick.peer.wire.PeerProto.MemberOrBuilder>(
-                  members_,
-                  ((bitField0_ & 0x00000004) != 0),
+          membersBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.MemberDigest, io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder, io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder>(
+                  getMembers(),
                   getParentForChildren(),
                   isClean());
           members_ = null;
@@ -13757,38 +15428,6 @@
         return membersBuilder_;
       }
 
-      private long leavingAsOfMillis_ ;
-      /**
-       * <code>int64 leaving_as_of_millis = 4;</code>
-       * @return The leavingAsOfMillis.
-       */
-      @java.lang.Override
-      public long getLeavingAsOfMillis() {
-        return leavingAsOfMillis_;
-      }
-      /**
-       * <code>int64 leaving_as_of_millis = 4;</code>
-       * @param value The leavingAsOfMillis to set.
-       * @return This builder for chaining.
-       */
-      public Builder setLeavingAsOfMillis(long value) {
-
-        leavingAsOfMillis_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>int64 leaving_as_of_millis = 4;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearLeavingAsOfMillis() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        leavingAsOfMillis_ = 0L;
-        onChanged();
-        return this;
-      }
-
       // @@protoc_insertion_point(builder_scope:anvilpick.peer.Gossip)
     }
 
@@ -21385,30 +23024,6 @@
      */
     long getClaimMapVersion();
 
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 5;</code>
-     */
-    java.util.List<io.anvilpick.peer.wire.PeerProto.Member> 
-        getMembersList();
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 5;</code>
-     */
-    io.anvilpick.peer.wire.PeerProto.Member getMembers(int index);
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 5;</code>
-     */
-    int getMembersCount();
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 5;</code>
-     */
-    java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
-        getMembersOrBuilderList();
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 5;</code>
-     */
-    io.anvilpick.peer.wire.PeerProto.MemberOrBuilder getMembersOrBuilder(
-        int index);
-
     /**
      * <code>optional .anvilpick.peer.LeavingList leaving = 6;</code>
      * @return Whether the leaving field is set.
@@ -21423,6 +23038,21 @@
      * <code>optional .anvilpick.peer.LeavingList leaving = 6;</code>
      */
     io.anvilpick.peer.wire.PeerProto.LeavingListOrBuilder getLeavingOrBuilder();
+
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+     * @return Whether the members field is set.
+     */
+    boolean hasMembers();
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+     * @return The members.
+     */
+    io.anvilpick.peer.wire.PeerProto.MemberDigest getMembers();
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder getMembersOrBuilder();
   }
   /**
    * Protobuf type {@code anvilpick.peer.GossipReply}
@@ -21446,7 +23076,6 @@
       super(builder);
     }
     private GossipReply() {
-      members_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -21537,47 +23166,6 @@
       return claimMapVersion_;
     }
 
-    public static final int MEMBERS_FIELD_NUMBER = 5;
-    @SuppressWarnings("serial")
-    private java.util.List<io.anvilpick.peer.wire.PeerProto.Member> members_;
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 5;</code>
-     */
-    @java.lang.Override
-    public java.util.List<io.anvilpick.peer.wire.PeerProto.Member> getMembersList() {
-      return members_;
-    }
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 5;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
-        getMembersOrBuilderList() {
-      return members_;
-    }
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 5;</code>
-     */
-    @java.lang.Override
-    public int getMembersCount() {
-      return members_.size();
-    }
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 5;</code>
-     */
-    @java.lang.Override
-    public io.anvilpick.peer.wire.PeerProto.Member getMembers(int index) {
-      return members_.get(index);
-    }
-    /**
-     * <code>repeated .anvilpick.peer.Member members = 5;</code>
-     */
-    @java.lang.Override
-    public io.anvilpick.peer.wire.PeerProto.MemberOrBuilder getMembersOrBuilder(
-        int index) {
-      return members_.get(index);
-    }
-
     public static final int LEAVING_FIELD_NUMBER = 6;
     private io.anvilpick.peer.wire.PeerProto.LeavingList leaving_;
     /**
@@ -21604,6 +23192,32 @@
       return leaving_ == null ? io.anvilpick.peer.wire.PeerProto.LeavingList.getDefaultInstance() : leaving_;
     }
 
+    public static final int MEMBERS_FIELD_NUMBER = 7;
+    private io.anvilpick.peer.wire.PeerProto.MemberDigest members_;
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+     * @return Whether the members field is set.
+     */
+    @java.lang.Override
+    public boolean hasMembers() {
+      return ((bitField0_ & 0x00000008) != 0);
+    }
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+     * @return The members.
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.MemberDigest getMembers() {
+      return members_ == null ? io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance() : members_;
+    }
+    /**
+     * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder getMembersOrBuilder() {
+      return members_ == null ? io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance() : members_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -21630,12 +23244,12 @@
       if (claimMapVersion_ != 0L) {
         output.writeInt64(4, claimMapVersion_);
       }
-      for (int i = 0; i < members_.size(); i++) {
-        output.writeMessage(5, members_.get(i));
-      }
       if (((bitField0_ & 0x00000004) != 0)) {
         output.writeMessage(6, getLeaving());
       }
+      if (((bitField0_ & 0x00000008) != 0)) {
+        output.writeMessage(7, getMembers());
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -21661,14 +23275,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeInt64Size(4, claimMapVersion_);
       }
-      for (int i = 0; i < members_.size(); i++) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(5, members_.get(i));
-      }
       if (((bitField0_ & 0x00000004) != 0)) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(6, getLeaving());
       }
+      if (((bitField0_ & 0x00000008) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(7, getMembers());
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -21698,13 +23312,16 @@
           != other.getConfigVersion()) return false;
       if (getClaimMapVersion()
           != other.getClaimMapVersion()) return false;
-      if (!getMembersList()
-          .equals(other.getMembersList())) return false;
       if (hasLeaving() != other.hasLeaving()) return false;
       if (hasLeaving()) {
         if (!getLeaving()
             .equals(other.getLeaving())) return false;
       }
+      if (hasMembers() != other.hasMembers()) return false;
+      if (hasMembers()) {
+        if (!getMembers()
+            .equals(other.getMembers())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -21730,14 +23347,14 @@
       hash = (37 * hash) + CLAIM_MAP_VERSION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getClaimMapVersion());
-      if (getMembersCount() > 0) {
-        hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
-        hash = (53 * hash) + getMembersList().hashCode();
-      }
       if (hasLeaving()) {
         hash = (37 * hash) + LEAVING_FIELD_NUMBER;
         hash = (53 * hash) + getLeaving().hashCode();
       }
+      if (hasMembers()) {
+        hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
+        hash = (53 * hash) + getMembers().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -21870,8 +23487,8 @@
                 .alwaysUseFieldBuilders) {
           internalGetHeadFieldBuilder();
           internalGetClaimMapFieldBuilder();
-          internalGetMembersFieldBuilder();
           internalGetLeavingFieldBuilder();
+          internalGetMembersFieldBuilder();
         }
       }
       @java.lang.Override
@@ -21890,18 +23507,16 @@
         }
         configVersion_ = 0L;
         claimMapVersion_ = 0L;
-        if (membersBuilder_ == null) {
-          members_ = java.util.Collections.emptyList();
-        } else {
-          members_ = null;
-          membersBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000010);
         leaving_ = null;
         if (leavingBuilder_ != null) {
           leavingBuilder_.dispose();
           leavingBuilder_ = null;
         }
+        members_ = null;
+        if (membersBuilder_ != null) {
+          membersBuilder_.dispose();
+          membersBuilder_ = null;
+        }
         return this;
       }
 
@@ -21928,24 +23543,11 @@
       @java.lang.Override
       public io.anvilpick.peer.wire.PeerProto.GossipReply buildPartial() {
         io.anvilpick.peer.wire.PeerProto.GossipReply result = new io.anvilpick.peer.wire.PeerProto.GossipReply(this);
-        buildPartialRepeatedFields(result);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartialRepeatedFields(io.anvilpick.peer.wire.PeerProto.GossipReply result) {
-        if (membersBuilder_ == null) {
-          if (((bitField0_ & 0x00000010) != 0)) {
-            members_ = java.util.Collections.unmodifiableList(members_);
-            bitField0_ = (bitField0_ & ~0x00000010);
-          }
-          result.members_ = members_;
-        } else {
-          result.members_ = membersBuilder_.build();
-        }
-      }
-
       private void buildPartial0(io.anvilpick.peer.wire.PeerProto.GossipReply result) {
         int from_bitField0_ = bitField0_;
         int to_bitField0_ = 0;
@@ -21967,12 +23569,18 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.claimMapVersion_ = claimMapVersion_;
         }
-        if (((from_bitField0_ & 0x00000020) != 0)) {
+        if (((from_bitField0_ & 0x00000010) != 0)) {
           result.leaving_ = leavingBuilder_ == null
               ? leaving_
               : leavingBuilder_.build();
           to_bitField0_ |= 0x00000004;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.members_ = membersBuilder_ == null
+              ? members_
+              : membersBuilder_.build();
+          to_bitField0_ |= 0x00000008;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -22000,35 +23608,12 @@
         if (other.getClaimMapVersion() != 0L) {
           setClaimMapVersion(other.getClaimMapVersion());
         }
-        if (membersBuilder_ == null) {
-          if (!other.members_.isEmpty()) {
-            if (members_.isEmpty()) {
-              members_ = other.members_;
-              bitField0_ = (bitField0_ & ~0x00000010);
-            } else {
-              ensureMembersIsMutable();
-              members_.addAll(other.members_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.members_.isEmpty()) {
-            if (membersBuilder_.isEmpty()) {
-              membersBuilder_.dispose();
-              membersBuilder_ = null;
-              members_ = other.members_;
-              bitField0_ = (bitField0_ & ~0x00000010);
-              membersBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetMembersFieldBuilder() : null;
-            } else {
-              membersBuilder_.addAllMessages(other.members_);
-            }
-          }
-        }
         if (other.hasLeaving()) {
           mergeLeaving(other.getLeaving());
         }
+        if (other.hasMembers()) {
+          mergeMembers(other.getMembers());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -22070,35 +23655,29 @@
                 break;
               } // case 18
               case 24: {
-                configVersion_ = input.readInt64();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              case 32: {
-                claimMapVersion_ = input.readInt64();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 32
-              case 42: {
-                io.anvilpick.peer.wire.PeerProto.Member m =
-                    input.readMessage(
-                        io.anvilpick.peer.wire.PeerProto.Member.parser(),
-                        extensionRegistry);
-                if (membersBuilder_ == null) {
-                  ensureMembersIsMutable();
-                  members_.add(m);
-                } else {
-                  membersBuilder_.addMessage(m);
-                }
+                configVersion_ = input.readInt64();
+                bitField0_ |= 0x00000004;
                 break;
-              } // case 42
+              } // case 24
+              case 32: {
+                claimMapVersion_ = input.readInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               case 50: {
                 input.readMessage(
                     internalGetLeavingFieldBuilder().getBuilder(),
                     extensionRegistry);
-                bitField0_ |= 0x00000020;
+                bitField0_ |= 0x00000010;
                 break;
               } // case 50
+              case 58: {
+                input.readMessage(
+                    internalGetMembersFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 58
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -22319,347 +23898,107 @@
           claimMapBuilder_.dispose();
           claimMapBuilder_ = null;
         }
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>optional .anvilpick.peer.ClaimMap claim_map = 2;</code>
-       */
-      public io.anvilpick.peer.wire.PeerProto.ClaimMap.Builder getClaimMapBuilder() {
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return internalGetClaimMapFieldBuilder().getBuilder();
-      }
-      /**
-       * <code>optional .anvilpick.peer.ClaimMap claim_map = 2;</code>
-       */
-      public io.anvilpick.peer.wire.PeerProto.ClaimMapOrBuilder getClaimMapOrBuilder() {
-        if (claimMapBuilder_ != null) {
-          return claimMapBuilder_.getMessageOrBuilder();
-        } else {
-          return claimMap_ == null ?
-              io.anvilpick.peer.wire.PeerProto.ClaimMap.getDefaultInstance() : claimMap_;
-        }
-      }
-      /**
-       * <code>optional .anvilpick.peer.ClaimMap claim_map = 2;</code>
-       */
-      private com.google.protobuf.SingleFieldBuilder<
-          io.anvilpick.peer.wire.PeerProto.ClaimMap, io.anvilpick.peer.wire.PeerProto.ClaimMap.Builder, io.anvilpick.peer.wire.PeerProto.ClaimMapOrBuilder> 
-          internalGetClaimMapFieldBuilder() {
-        if (claimMapBuilder_ == null) {
-          claimMapBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              io.anvilpick.peer.wire.PeerProto.ClaimMap, io.anvilpick.peer.wire.PeerProto.ClaimMap.Builder, io.anvilpick.peer.wire.PeerProto.ClaimMapOrBuilder>(
-                  getClaimMap(),
-                  getParentForChildren(),
-                  isClean());
-          claimMap_ = null;
-        }
-        return claimMapBuilder_;
-      }
-
-      private long configVersion_ ;
-      /**
-       * <code>int64 config_version = 3;</code>
-       * @return The configVersion.
-       */
-      @java.lang.Override
-      public long getConfigVersion() {
-        return configVersion_;
-      }
-      /**
-       * <code>int64 config_version = 3;</code>
-       * @param value The configVersion to set.
-       * @return This builder for chaining.
-       */
-      public Builder setConfigVersion(long value) {
-
-        configVersion_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>int64 config_version = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearConfigVersion() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        configVersion_ = 0L;
-        onChanged();
-        return this;
-      }
-
-      private long claimMapVersion_ ;
-      /**
-       * <code>int64 claim_map_version = 4;</code>
-       * @return The claimMapVersion.
-       */
-      @java.lang.Override
-      public long getClaimMapVersion() {
-        return claimMapVersion_;
-      }
-      /**
-       * <code>int64 claim_map_version = 4;</code>
-       * @param value The claimMapVersion to set.
-       * @return This builder for chaining.
-       */
-      public Builder setClaimMapVersion(long value) {
-
-        claimMapVersion_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>int64 claim_map_version = 4;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearClaimMapVersion() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        claimMapVersion_ = 0L;
-        onChanged();
-        return this;
-      }
-
-      private java.util.List<io.anvilpick.peer.wire.PeerProto.Member> members_ =
-        java.util.Collections.emptyList();
-      private void ensureMembersIsMutable() {
-        if (!((bitField0_ & 0x00000010) != 0)) {
-          members_ = new java.util.ArrayList<io.anvilpick.peer.wire.PeerProto.Member>(members_);
-          bitField0_ |= 0x00000010;
-         }
-      }
-
-      private com.google.protobuf.RepeatedFieldBuilder<
-          io.anvilpick.peer.wire.PeerProto.Member, io.anvilpick.peer.wire.PeerProto.Member.Builder, io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> membersBuilder_;
-
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
-       */
-      public java.util.List<io.anvilpick.peer.wire.PeerProto.Member> getMembersList() {
-        if (membersBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(members_);
-        } else {
-          return membersBuilder_.getMessageList();
-        }
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
-       */
-      public int getMembersCount() {
-        if (membersBuilder_ == null) {
-          return members_.size();
-        } else {
-          return membersBuilder_.getCount();
-        }
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
-       */
-      public io.anvilpick.peer.wire.PeerProto.Member getMembers(int index) {
-        if (membersBuilder_ == null) {
-          return members_.get(index);
-        } else {
-          return membersBuilder_.getMessage(index);
-        }
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
-       */
-      public Builder setMembers(
-          int index, io.anvilpick.peer.wire.PeerProto.Member value) {
-        if (membersBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureMembersIsMutable();
-          members_.set(index, value);
-          onChanged();
-        } else {
-          membersBuilder_.setMessage(index, value);
-        }
-        return this;
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
-       */
-      public Builder setMembers(
-          int index, io.anvilpick.peer.wire.PeerProto.Member.Builder builderForValue) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          membersBuilder_.setMessage(index, builderForValue.build());
-        }
-        return this;
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
-       */
-      public Builder addMembers(io.anvilpick.peer.wire.PeerProto.Member value) {
-        if (membersBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureMembersIsMutable();
-          members_.add(value);
-          onChanged();
-        } else {
-          membersBuilder_.addMessage(value);
-        }
-        return this;
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
-       */
-      public Builder addMembers(
-          int index, io.anvilpick.peer.wire.PeerProto.Member value) {
-        if (membersBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureMembersIsMutable();
-          members_.add(index, value);
-          onChanged();
-        } else {
-          membersBuilder_.addMessage(index, value);
-        }
-        return this;
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
-       */
-      public Builder addMembers(
-          io.anvilpick.peer.wire.PeerProto.Member.Builder builderForValue) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.add(builderForValue.build());
-          onChanged();
-        } else {
-          membersBuilder_.addMessage(builderForValue.build());
-        }
-        return this;
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
-       */
-      public Builder addMembers(
-          int index, io.anvilpick.peer.wire.PeerProto.Member.Builder builderForValue) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          membersBuilder_.addMessage(index, builderForValue.build());
-        }
-        return this;
-      }
-      /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
-       */
-      public Builder addAllMembers(
-          java.lang.Iterable<? extends io.anvilpick.peer.wire.PeerProto.Member> values) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, members_);
-          onChanged();
-        } else {
-          membersBuilder_.addAllMessages(values);
-        }
+        onChanged();
         return this;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
+       * <code>optional .anvilpick.peer.ClaimMap claim_map = 2;</code>
        */
-      public Builder clearMembers() {
-        if (membersBuilder_ == null) {
-          members_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000010);
-          onChanged();
-        } else {
-          membersBuilder_.clear();
-        }
-        return this;
+      public io.anvilpick.peer.wire.PeerProto.ClaimMap.Builder getClaimMapBuilder() {
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return internalGetClaimMapFieldBuilder().getBuilder();
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
+       * <code>optional .anvilpick.peer.ClaimMap claim_map = 2;</code>
        */
-      public Builder removeMembers(int index) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.remove(index);
-          onChanged();
+      public io.anvilpick.peer.wire.PeerProto.ClaimMapOrBuilder getClaimMapOrBuilder() {
+        if (claimMapBuilder_ != null) {
+          return claimMapBuilder_.getMessageOrBuilder();
         } else {
-          membersBuilder_.remove(index);
+          return claimMap_ == null ?
+              io.anvilpick.peer.wire.PeerProto.ClaimMap.getDefaultInstance() : claimMap_;
         }
-        return this;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
+       * <code>optional .anvilpick.peer.ClaimMap claim_map = 2;</code>
        */
-      public io.anvilpick.peer.wire.PeerProto.Member.Builder getMembersBuilder(
-          int index) {
-        return internalGetMembersFieldBuilder().getBuilder(index);
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.ClaimMap, io.anvilpick.peer.wire.PeerProto.ClaimMap.Builder, io.anvilpick.peer.wire.PeerProto.ClaimMapOrBuilder> 
+          internalGetClaimMapFieldBuilder() {
+        if (claimMapBuilder_ == null) {
+          claimMapBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.ClaimMap, io.anvilpick.peer.wire.PeerProto.ClaimMap.Builder, io.anvilpick.peer.wire.PeerProto.ClaimMapOrBuilder>(
+                  getClaimMap(),
+                  getParentForChildren(),
+                  isClean());
+          claimMap_ = null;
+        }
+        return claimMapBuilder_;
       }
+
+      private long configVersion_ ;
       /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
+       * <code>int64 config_version = 3;</code>
+       * @return The configVersion.
        */
-      public io.anvilpick.peer.wire.PeerProto.MemberOrBuilder getMembersOrBuilder(
-          int index) {
-        if (membersBuilder_ == null) {
-          return members_.get(index);  } else {
-          return membersBuilder_.getMessageOrBuilder(index);
-        }
+      @java.lang.Override
+      public long getConfigVersion() {
+        return configVersion_;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
+       * <code>int64 config_version = 3;</code>
+       * @param value The configVersion to set.
+       * @return This builder for chaining.
        */
-      public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
-           getMembersOrBuilderList() {
-        if (membersBuilder_ != null) {
-          return membersBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(members_);
-        }
+      public Builder setConfigVersion(long value) {
+
+        configVersion_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
+       * <code>int64 config_version = 3;</code>
+       * @return This builder for chaining.
        */
-      public io.anvilpick.peer.wire.PeerProto.Member.Builder addMembersBuilder() {
-        return internalGetMembersFieldBuilder().addBuilder(
-            io.anvilpick.peer.wire.PeerProto.Member.getDefaultInstance());
+      public Builder clearConfigVersion() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        configVersion_ = 0L;
+        onChanged();
+        return this;
       }
+
+      private long claimMapVersion_ ;
       /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
+       * <code>int64 claim_map_version = 4;</code>
+       * @return The claimMapVersion.
        */
-      public io.anvilpick.peer.wire.PeerProto.Member.Builder addMembersBuilder(
-          int index) {
-        return internalGetMembersFieldBuilder().addBuilder(
-            index, io.anvilpick.peer.wire.PeerProto.Member.getDefaultInstance());
+      @java.lang.Override
+      public long getClaimMapVersion() {
+        return claimMapVersion_;
       }
       /**
-       * <code>repeated .anvilpick.peer.Member members = 5;</code>
+       * <code>int64 claim_map_version = 4;</code>
+       * @param value The claimMapVersion to set.
+       * @return This builder for chaining.
        */
-      public java.util.List<io.anvilpick.peer.wire.PeerProto.Member.Builder> 
-           getMembersBuilderList() {
-        return internalGetMembersFieldBuilder().getBuilderList();
+      public Builder setClaimMapVersion(long value) {
+
+        claimMapVersion_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
       }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          io.anvilpick.peer.wire.PeerProto.Member, io.anvilpick.peer.wire.PeerProto.Member.Builder, io.anvilpick.peer.wire.PeerProto.MemberOrBuilder> 
-          internalGetMembersFieldBuilder() {
-        if (membersBuilder_ == null) {
-          membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              io.anvilpick.peer.wire.PeerProto.Member, io.anvilpick.peer.wire.PeerProto.Member.Builder, io.anvilpick.peer.wire.PeerProto.MemberOrBuilder>(
-                  members_,
-                  ((bitField0_ & 0x00000010) != 0),
-                  getParentForChildren(),
-                  isClean());
-          members_ = null;
-        }
-        return membersBuilder_;
+      /**
+       * <code>int64 claim_map_version = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearClaimMapVersion() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        claimMapVersion_ = 0L;
+        onChanged();
+        return this;
       }
 
       private io.anvilpick.peer.wire.PeerProto.LeavingList leaving_;
@@ -22670,7 +24009,7 @@
        * @return Whether the leaving field is set.
        */
       public boolean hasLeaving() {
-        return ((bitField0_ & 0x00000020) != 0);
+        return ((bitField0_ & 0x00000010) != 0);
       }
       /**
        * <code>optional .anvilpick.peer.LeavingList leaving = 6;</code>
@@ -22695,7 +24034,7 @@
         } else {
           leavingBuilder_.setMessage(value);
         }
-        bitField0_ |= 0x00000020;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
@@ -22709,7 +24048,7 @@
         } else {
           leavingBuilder_.setMessage(builderForValue.build());
         }
-        bitField0_ |= 0x00000020;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
@@ -22718,7 +24057,7 @@
        */
       public Builder mergeLeaving(io.anvilpick.peer.wire.PeerProto.LeavingList value) {
         if (leavingBuilder_ == null) {
-          if (((bitField0_ & 0x00000020) != 0) &&
+          if (((bitField0_ & 0x00000010) != 0) &&
             leaving_ != null &&
             leaving_ != io.anvilpick.peer.wire.PeerProto.LeavingList.getDefaultInstance()) {
             getLeavingBuilder().mergeFrom(value);
@@ -22729,7 +24068,7 @@
           leavingBuilder_.mergeFrom(value);
         }
         if (leaving_ != null) {
-          bitField0_ |= 0x00000020;
+          bitField0_ |= 0x00000010;
           onChanged();
         }
         return this;
@@ -22738,7 +24077,7 @@
        * <code>optional .anvilpick.peer.LeavingList leaving = 6;</code>
        */
       public Builder clearLeaving() {
-        bitField0_ = (bitField0_ & ~0x00000020);
+        bitField0_ = (bitField0_ & ~0x00000010);
         leaving_ = null;
         if (leavingBuilder_ != null) {
           leavingBuilder_.dispose();
@@ -22751,7 +24090,7 @@
        * <code>optional .anvilpick.peer.LeavingList leaving = 6;</code>
        */
       public io.anvilpick.peer.wire.PeerProto.LeavingList.Builder getLeavingBuilder() {
-        bitField0_ |= 0x00000020;
+        bitField0_ |= 0x00000010;
         onChanged();
         return internalGetLeavingFieldBuilder().getBuilder();
       }
@@ -22783,6 +24122,127 @@
         return leavingBuilder_;
       }
 
+      private io.anvilpick.peer.wire.PeerProto.MemberDigest members_;
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.MemberDigest, io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder, io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder> membersBuilder_;
+      /**
+       * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+       * @return Whether the members field is set.
+       */
+      public boolean hasMembers() {
+        return ((bitField0_ & 0x00000020) != 0);
+      }
+      /**
+       * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+       * @return The members.
+       */
+      public io.anvilpick.peer.wire.PeerProto.MemberDigest getMembers() {
+        if (membersBuilder_ == null) {
+          return members_ == null ? io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance() : members_;
+        } else {
+          return membersBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+       */
+      public Builder setMembers(io.anvilpick.peer.wire.PeerProto.MemberDigest value) {
+        if (membersBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          members_ = value;
+        } else {
+          membersBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+       */
+      public Builder setMembers(
+          io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          members_ = builderForValue.build();
+        } else {
+          membersBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+       */
+      public Builder mergeMembers(io.anvilpick.peer.wire.PeerProto.MemberDigest value) {
+        if (membersBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0) &&
+            members_ != null &&
+            members_ != io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance()) {
+            getMembersBuilder().mergeFrom(value);
+          } else {
+            members_ = value;
+          }
+        } else {
+          membersBuilder_.mergeFrom(value);
+        }
+        if (members_ != null) {
+          bitField0_ |= 0x00000020;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+       */
+      public Builder clearMembers() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        members_ = null;
+        if (membersBuilder_ != null) {
+          membersBuilder_.dispose();
+          membersBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder getMembersBuilder() {
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return internalGetMembersFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder getMembersOrBuilder() {
+        if (membersBuilder_ != null) {
+          return membersBuilder_.getMessageOrBuilder();
+        } else {
+          return members_ == null ?
+              io.anvilpick.peer.wire.PeerProto.MemberDigest.getDefaultInstance() : members_;
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.MemberDigest members = 7;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.MemberDigest, io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder, io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder> 
+          internalGetMembersFieldBuilder() {
+        if (membersBuilder_ == null) {
+          membersBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.MemberDigest, io.anvilpick.peer.wire.PeerProto.MemberDigest.Builder, io.anvilpick.peer.wire.PeerProto.MemberDigestOrBuilder>(
+                  getMembers(),
+                  getParentForChildren(),
+                  isClean());
+          members_ = null;
+        }
+        return membersBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:anvilpick.peer.GossipReply)
     }
 
@@ -24797,6 +26257,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_anvilpick_peer_Member_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_anvilpick_peer_MemberBeat_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_anvilpick_peer_MemberBeat_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_anvilpick_peer_MemberDigest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_anvilpick_peer_MemberDigest_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_anvilpick_peer_Gossip_descriptor;
   private static final 
@@ -24931,40 +26401,44 @@
       "ick.peer.Claim\"\203\001\n\006Member\022\020\n\010instance\030\001 " +
       "\001(\t\022\024\n\014call_address\030\002 \001(\t\022\024\n\014peer_addres" +
       "s\030\003 \001(\t\022\016\n\006region\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\022\017\n" +
-      "\007leaving\030\006 \001(\010\022\014\n\004beat\030\007 \001(\003\"\202\001\n\006Gossip\022" +
-      "\026\n\016config_version\030\001 \001(\003\022\031\n\021claim_map_ver" +
-      "sion\030\002 \001(\003\022\'\n\007members\030\003 \003(\0132\026.anvilpick." +
-      "peer.Member\022\034\n\024leaving_as_of_millis\030\004 \001(" +
-      "\003\"6\n\013LeavingList\022\024\n\014as_of_millis\030\001 \001(\003\022\021" +
-      "\n\taddresses\030\002 \003(\t\"\030\n\005Parts\022\017\n\007digests\030\001 " +
-      "\003(\t\"?\n\005Crash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006tar" +
-      "get\030\002 \001(\t\022\021\n\tat_millis\030\003 \001(\003\"\035\n\006Acquit\022\023" +
-      "\n\013fingerprint\030\001 \001(\t\"\006\n\004Done\"\250\001\n\005Voted\022(\n" +
-      "\004kind\030\001 \001(\0162\032.anvilpick.peer.Voted.Kind\022" +
-      "*\n\006holder\030\002 \001(\0132\025.anvilpick.peer.ClaimH\000" +
-      "\210\001\001\022\r\n\005epoch\030\003 \001(\003\"/\n\004Kind\022\013\n\007GRANTED\020\000\022" +
-      "\t\n\005TAKEN\020\001\022\017\n\013WRONG_EPOCH\020\002B\t\n\007_holder\"[" +
-      "\n\006Sealed\022\r\n\005group\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\014" +
-      "\n\004held\030\003 \001(\010\022%\n\006claims\030\004 \003(\0132\025.anvilpick" +
-      ".peer.Claim\"\031\n\tInstalled\022\014\n\004kept\030\001 \001(\010\"-" +
-      "\n\nSignedHead\022\014\n\004head\030\001 \001(\t\022\021\n\tsignature\030" +
-      "\002 \001(\t\"l\n\nClaimGroup\022\r\n\005index\030\001 \001(\005\022\r\n\005ep" +
-      "och\030\002 \001(\003\022\021\n\tchange_id\030\003 \001(\t\022\033\n\023trusted_" +
-      "from_millis\030\004 \001(\003\022\020\n\010replicas\030\005 \003(\t\"G\n\010C" +
-      "laimMap\022\017\n\007version\030\001 \001(\003\022*\n\006groups\030\002 \003(\013" +
-      "2\032.anvilpick.peer.ClaimGroup\"\240\002\n\013GossipR" +
-      "eply\022-\n\004head\030\001 \001(\0132\032.anvilpick.peer.Sign" +
-      "edHeadH\000\210\001\001\0220\n\tclaim_map\030\002 \001(\0132\030.anvilpi" +
-      "ck.peer.ClaimMapH\001\210\001\001\022\026\n\016config_version\030" +
-      "\003 \001(\003\022\031\n\021claim_map_version\030\004 \001(\003\022\'\n\007memb" +
-      "ers\030\005 \003(\0132\026.anvilpick.peer.Member\0221\n\007lea" +
-      "ving\030\006 \001(\0132\033.anvilpick.peer.LeavingListH" +
-      "\002\210\001\001B\007\n\005_headB\014\n\n_claim_mapB\n\n\010_leaving\"" +
-      "$\n\004Part\022\016\n\006digest\030\001 \001(\t\022\014\n\004text\030\002 \001(\t\"1\n" +
-      "\nPartsReply\022#\n\005parts\030\001 \003(\0132\024.anvilpick.p" +
-      "eer.Part\"\032\n\010Rejected\022\016\n\006reason\030\001 \001(\tB%\n\026" +
-      "io.anvilpick.peer.wireB\tPeerProtoP\000b\006pro" +
-      "to3"
+      "\007leaving\030\006 \001(\010\022\014\n\004beat\030\007 \001(\003\",\n\nMemberBe" +
+      "at\022\020\n\010instance\030\001 \001(\t\022\014\n\004beat\030\002 \001(\003\"b\n\014Me" +
+      "mberDigest\022\'\n\007members\030\001 \003(\0132\026.anvilpick." +
+      "peer.Member\022)\n\005beats\030\002 \003(\0132\032.anvilpick.p" +
+      "eer.MemberBeat\"\216\001\n\006Gossip\022\026\n\016config_vers" +
+      "ion\030\001 \001(\003\022\031\n\021claim_map_version\030\002 \001(\003\022\034\n\024" +
+      "leaving_as_of_millis\030\004 \001(\003\022-\n\007members\030\005 " +
+      "\001(\0132\034.anvilpick.peer.MemberDigestJ\004\010\003\020\004\"" +
+      "6\n\013LeavingList\022\024\n\014as_of_millis\030\001 \001(\003\022\021\n\t" +
+      "addresses\030\002 \003(\t\"\030\n\005Parts\022\017\n\007digests\030\001 \003(" +
+      "\t\"?\n\005Crash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006targe" +
+      "t\030\002 \001(\t\022\021\n\tat_millis\030\003 \001(\003\"\035\n\006Acquit\022\023\n\013" +
+      "fingerprint\030\001 \001(\t\"\006\n\004Done\"\250\001\n\005Voted\022(\n\004k" +
+      "ind\030\001 \001(\0162\032.anvilpick.peer.Voted.Kind\022*\n" +
+      "\006holder\030\002 \001(\0132\025.anvilpick.peer.ClaimH\000\210\001" +
+      "\001\022\r\n\005epoch\030\003 \001(\003\"/\n\004Kind\022\013\n\007GRANTED\020\000\022\t\n" +
+      "\005TAKEN\020\001\022\017\n\013WRONG_EPOCH\020\002B\t\n\007_holder\"[\n\006" +
+      "Sealed\022\r\n\005group\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\014\n\004" +
+      "held\030\003 \001(\010\022%\n\006claims\030\004 \003(\0132\025.anvilpick.p" +
+      "eer.Claim\"\031\n\tInstalled\022\014\n\004kept\030\001 \001(\010\"-\n\n" +
+      "SignedHead\022\014\n\004head\030\001 \001(\t\022\021\n\tsignature\030\002 " +
+      "\001(\t\"l\n\nClaimGroup\022\r\n\005index\030\001 \001(\005\022\r\n\005epoc" +
+      "h\030\002 \001(\003\022\021\n\tchange_id\030\003 \001(\t\022\033\n\023trusted_fr" +
+      "om_millis\030\004 \001(\003\022\020\n\010replicas\030\005 \003(\t\"G\n\010Cla" +
+      "imMap\022\017\n\007version\030\001 \001(\003\022*\n\006groups\030\002 \003(\0132\032" +
+      ".anvilpick.peer.ClaimGroup\"\254\002\n\013GossipRep" +
+      "ly\022-\n\004head\030\001 \001(\0132\032.anvilpick.peer.Signed" +
+      "HeadH\000\210\001\001\0220\n\tclaim_map\030\002 \001(\0132\030.anvilpick" +
+      ".peer.ClaimMapH\001\210\001\001\022\026\n\016config_version\030\003 " +
+      "\001(\003\022\031\n\021claim_map_version\030\004 \001(\003\0221\n\007leavin" +
+      "g\030\006 \001(\0132\033.anvilpick.peer.LeavingListH\002\210\001" +
+      "\001\022-\n\007members\030\007 \001(\0132\034.anvilpick.peer.Memb" +
+      "erDigestB\007\n\005_headB\014\n\n_claim_mapB\n\n\010_leav" +
+      "ingJ\004\010\005\020\006\"$\n\004Part\022\016\n\006digest\030\001 \001(\t\022\014\n\004tex" +
+      "t\030\002 \001(\t\"1\n\nPartsReply\022#\n\005parts\030\001 \003(\0132\024.a" +
+      "nvilpick.peer.Part\"\032\n\010Rejected\022\016\n\006reason" +
+      "\030\001 \001(\tB%\n\026io.anvilpick.peer.wireB\tPeerPr" +
+      "otoP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
