@@ -25036,98 +26510,110 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Member_descriptor,
         new java.lang.String[] { "Instance", "CallAddress", "PeerAddress", "Region", "Zone", "Leaving", "Beat", });
-    internal_static_anvilpick_peer_Gossip_descriptor =
+    internal_static_anvilpick_peer_MemberBeat_descriptor =
       getDescriptor().getMessageType(11);
+    internal_static_anvilpick_peer_MemberBeat_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_anvilpick_peer_MemberBeat_descriptor,
+        new java.lang.String[] { "Instance", "Beat", });
+    internal_static_anvilpick_peer_MemberDigest_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_anvilpick_peer_MemberDigest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_anvilpick_peer_MemberDigest_descriptor,
+        new java.lang.String[] { "Members", "Beats", });
+    internal_static_anvilpick_peer_Gossip_descriptor =
+      getDescriptor().getMessageType(13);
     internal_static_anvilpick_peer_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Gossip_descriptor,
-        new java.lang.String[] { "ConfigVersion", "ClaimMapVersion", "Members", "LeavingAsOfMillis", });
+        new java.lang.String[] { "ConfigVersion", "ClaimMapVersion", "LeavingAsOfMillis", "Members", });
     internal_static_anvilpick_peer_LeavingList_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_anvilpick_peer_LeavingList_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_LeavingList_descriptor,
         new java.lang.String[] { "AsOfMillis", "Addresses", });
     internal_static_anvilpick_peer_Parts_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_anvilpick_peer_Parts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Parts_descriptor,
         new java.lang.String[] { "Digests", });
     internal_static_anvilpick_peer_Crash_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_anvilpick_peer_Crash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Crash_descriptor,
         new java.lang.String[] { "Fingerprint", "Target", "AtMillis", });
     internal_static_anvilpick_peer_Acquit_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_anvilpick_peer_Acquit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Acquit_descriptor,
         new java.lang.String[] { "Fingerprint", });
     internal_static_anvilpick_peer_Done_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_anvilpick_peer_Done_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Done_descriptor,
         new java.lang.String[] { });
     internal_static_anvilpick_peer_Voted_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_anvilpick_peer_Voted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Voted_descriptor,
         new java.lang.String[] { "Kind", "Holder", "Epoch", });
     internal_static_anvilpick_peer_Sealed_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_anvilpick_peer_Sealed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Sealed_descriptor,
         new java.lang.String[] { "Group", "Epoch", "Held", "Claims", });
     internal_static_anvilpick_peer_Installed_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_anvilpick_peer_Installed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Installed_descriptor,
         new java.lang.String[] { "Kept", });
     internal_static_anvilpick_peer_SignedHead_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_anvilpick_peer_SignedHead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_SignedHead_descriptor,
         new java.lang.String[] { "Head", "Signature", });
     internal_static_anvilpick_peer_ClaimGroup_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(23);
     internal_static_anvilpick_peer_ClaimGroup_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimGroup_descriptor,
         new java.lang.String[] { "Index", "Epoch", "ChangeId", "TrustedFromMillis", "Replicas", });
     internal_static_anvilpick_peer_ClaimMap_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(24);
     internal_static_anvilpick_peer_ClaimMap_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimMap_descriptor,
         new java.lang.String[] { "Version", "Groups", });
     internal_static_anvilpick_peer_GossipReply_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(25);
     internal_static_anvilpick_peer_GossipReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_GossipReply_descriptor,
-        new java.lang.String[] { "Head", "ClaimMap", "ConfigVersion", "ClaimMapVersion", "Members", "Leaving", });
+        new java.lang.String[] { "Head", "ClaimMap", "ConfigVersion", "ClaimMapVersion", "Leaving", "Members", });
     internal_static_anvilpick_peer_Part_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_anvilpick_peer_Part_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Part_descriptor,
         new java.lang.String[] { "Digest", "Text", });
     internal_static_anvilpick_peer_PartsReply_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(27);
     internal_static_anvilpick_peer_PartsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_PartsReply_descriptor,
         new java.lang.String[] { "Parts", });
     internal_static_anvilpick_peer_Rejected_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_anvilpick_peer_Rejected_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Rejected_descriptor,
--- a/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
+++ b/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
@@ -21,6 +21,8 @@
 import io.anvilpick.crashes.CrashReport;
 import io.anvilpick.membership.LeavingList;
 import io.anvilpick.membership.Member;
+import io.anvilpick.membership.MemberBeat;
+import io.anvilpick.membership.MemberDigest;
 import io.anvilpick.messages.AcquitRequest;
 import io.anvilpick.messages.ClaimReleaseRequest;
 import io.anvilpick.messages.ClaimSettleRequest;
@@ -45,13 +47,16 @@
     private static final Claim UNSETTLED = RUNNING.withState(new ClaimState.Unsettled());
     private static final Member MEMBER = new Member("i", "c:1", "p:2", "region", "zone", true, 3);
 
+    private static final MemberDigest DIGEST =
+            new MemberDigest(ImmutableList.of(MEMBER), ImmutableList.of(new MemberBeat("j", 4)));
+
     private static final List<PeerRequest> REQUESTS = List.of(
             new ClaimVoteRequest(1, 2, RUNNING),
             new ClaimSettleRequest(1, KEY, "holder", new ClaimState.Done(Optional.empty())),
             new ClaimReleaseRequest(1, KEY, "holder"),
             new SealRequest(1, 2),
             new InstallRequest(1, 2, "change", ImmutableList.of(RUNNING, UNSETTLED)),
-            new GossipRequest(1, 2, 3, ImmutableList.of(MEMBER)),
+            new GossipRequest(1, 2, 3, DIGEST),
             new PartsRequest(ImmutableSet.of("a", "b")),
             new CrashRequest(new CrashReport("print", "t:1", 5)),
             new AcquitRequest("print"));
@@ -69,7 +74,7 @@
                     Optional.of(new LeavingList(8, ImmutableSet.of("10.0.0.1"))),
                     1,
                     3,
-                    ImmutableList.of(MEMBER)),
+                    DIGEST),
             new PeerReply.Parts(ImmutableMap.of("digest", "text")),
             new PeerReply.Rejected("reason"));
 
