A daemon warms up before it is known; connections shared out by daemon

Cause: a fresh clone's demo on a slower machine answered every call, but at a p99 of 6.8 s. Stacks and processor times showed all processes compiling cold code: 14 s of processor time a daemon in its first 20 s, and 28 cold targets beside them. connectionsPerTarget was read and shown, but nothing kept to it.

Change: before a daemon listens or joins, WarmUp drives calls through a private copy of the whole path (CallPath, which the daemon uses too): server, dispatcher, claims by a peer over loopback, client, target. Each daemon keeps at most its share of connectionsPerTarget in flight to a target, and one event loop for each target, so connections are no more than calls in flight.

--- a/anvilpick-core/src/main/java/io/anvilpick/calls/DispatcherRegistry.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/calls/DispatcherRegistry.java
@@ -21,6 +21,7 @@
     private final Supplier<Dispatcher> newDispatcher;
     private final Shards<Map<String, Row>> rows = Shards.create(SHARDS, HashMap::new);
     private volatile Set<String> leavingAddresses = Set.of();
+    private volatile int daemons = 1;
 
     private record Row(Dispatcher dispatcher, ServiceConfig service, Configuration configuration) {}
 
@@ -39,6 +40,7 @@
             Dispatcher dispatcher = row == null ? newDispatcher.get() : row.dispatcher();
             dispatcher.configure(service, configuration);
             dispatcher.noteLeaving(leavingAddresses);
+            dispatcher.noteDaemons(daemons);
             shard.put(service.name(), new Row(dispatcher, service, configuration));
             return dispatcher;
         });
@@ -50,6 +52,12 @@
         rows.forEach(shard -> shard.values().forEach(row -> row.dispatcher().noteLeaving(addresses)));
     }
 
+    /** Tells every dispatcher how many daemons may connect to the same targets. */
+    public void noteDaemons(int count) {
+        daemons = count;
+        rows.forEach(shard -> shard.values().forEach(row -> row.dispatcher().noteDaemons(count)));
+    }
+
     /** Returns the service name and dispatcher of every service in use. */
     public Map<String, Dispatcher> all() {
         Map<String, Dispatcher> all = new HashMap<>();
--- a/anvilpick-core/src/main/java/io/anvilpick/config/SnapshotAssembler.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/config/SnapshotAssembler.java
@@ -45,6 +45,29 @@
         return new Snapshot(signed, head, configuration, buckets, ImmutableMap.copyOf(parts));
     }
 
+    /**
+     * Returns {@code configuration} whole, as its operator would have signed it under {@code version}.
+     *
+     * @param changeId names the change
+     * @param privateKey the operator's private key
+     * @throws ConfigurationException if the private key cannot be used
+     */
+    public Snapshot sign(Configuration configuration, long version, String changeId, String privateKey)
+            throws ConfigurationException {
+        Snapshot.Parts parts = Snapshot.split(codec, configuration.services());
+        Head head = new Head(
+                version,
+                changeId,
+                configuration.contract().operator().name(),
+                version,
+                configuration.contract(),
+                configuration.tenants(),
+                parts.buckets());
+        String text = codec.encode(head);
+        SignedHead signed = new SignedHead(text, Signatures.sign(privateKey, text));
+        return assemble(signed, null, digests -> parts.texts());
+    }
+
     private ImmutableList<Bucket> decodeBuckets(Head head, Map<String, String> parts, @Nullable Snapshot previous)
             throws ConfigurationException {
         ImmutableList.Builder<Bucket> buckets = ImmutableList.builder();
--- a/anvilpick-core/src/main/java/io/anvilpick/routing/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/Dispatcher.java
@@ -1,5 +1,6 @@
 package io.anvilpick.routing;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
@@ -73,6 +74,17 @@
         }
     }
 
+    /** Notes how many daemons, this one among them, may connect to the same targets; each keeps to its share. */
+    public void noteDaemons(int count) {
+        checkArgument(count > 0, "count must be positive: %s", count);
+        lock.lock();
+        try {
+            targets.noteDaemons(count, time.nanos());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Takes a new call. */
     public Admission submit(Call call) {
         lock.lock();
--- a/anvilpick-core/src/main/java/io/anvilpick/routing/TargetPicker.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/TargetPicker.java
@@ -6,9 +6,6 @@
 
 /** Picks one of several targets by a policy. Guarded by the dispatcher's lock. */
 final class TargetPicker {
-    /** Score from which a target is so slow that waiting for another one may be faster. */
-    private static final double SLOW_SCORE = 2.0;
-
     private final TargetPolicy policy;
     private final RandomGenerator random;
     private int turn;
@@ -46,7 +43,7 @@
         for (int i = 0; i < candidates.size(); i++) {
             TargetState target = candidates.get((start + i) % candidates.size());
             double score = target.score(now, baselineNanos);
-            fastSlots += score < SLOW_SCORE ? target.limit() : 0;
+            fastSlots += score < TargetState.SLOW_SCORE ? target.limit() : 0;
             if (!target.hasFreeSlot(now)) {
                 continue;
             }
@@ -59,8 +56,8 @@
     }
 
     private static boolean isBetter(TargetState target, double score, TargetState best, double bestScore) {
-        boolean targetSlow = score >= SLOW_SCORE;
-        boolean bestSlow = bestScore >= SLOW_SCORE;
+        boolean targetSlow = score >= TargetState.SLOW_SCORE;
+        boolean bestSlow = bestScore >= TargetState.SLOW_SCORE;
         if (targetSlow != bestSlow) {
             return bestSlow;
         }
@@ -74,11 +71,11 @@
     }
 
     /**
-     * A target that is lastingly slow and has a free slot would answer after about {@code score} times the usual; one of the fast slots comes
-     * free after about {@code (queued + 1) / fastSlots} times the usual, and then answers in the usual time.
+     * A target that is lastingly slow and has a free slot would answer after about {@code score} times the usual; one of
+     * the fast slots comes free after about {@code (queued + 1) / fastSlots} times the usual, and then answers in the usual time.
      */
     private static boolean isWorthWaiting(TargetState target, double score, int queued, int fastSlots) {
-        if (score < SLOW_SCORE || fastSlots == 0 || !target.isLastinglySlow()) {
+        if (score < TargetState.SLOW_SCORE || fastSlots == 0 || !target.isLastinglySlow()) {
             return false;
         }
         return score > (queued + 1.0) / fastSlots + 1;
--- a/anvilpick-core/src/main/java/io/anvilpick/routing/TargetSet.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/TargetSet.java
@@ -24,7 +24,8 @@
     private final PacedBudget measuring;
     private Map<String, TargetState> targets = new LinkedHashMap<>();
     private Set<String> leavingAddresses = Set.of();
-    private boolean configured;
+    private @Nullable ServiceConfig service;
+    private int daemons = 1;
 
     TargetSet(TargetPicker picker, TimeSource time) {
         this.picker = picker;
@@ -36,20 +37,36 @@
     }
 
     /** Puts the targets of {@code service} in force; what was learnt of those that stay is kept. */
-    void configure(ServiceConfig service, long now) {
+    void configure(ServiceConfig changed, long now) {
+        boolean first = service == null;
+        int limit = callsPerTarget(changed);
         Map<String, TargetState> next = new LinkedHashMap<>();
-        for (TargetConfig target : service.targets()) {
+        for (TargetConfig target : changed.targets()) {
             TargetState known = targets.get(target.id());
             boolean same = known != null && known.config().address().equals(target.address());
             next.put(
                     target.id(),
-                    same
-                            ? known.reconfigured(target, service.slotsPerTarget(), now)
-                            : new TargetState(target, service.slotsPerTarget(), !configured, now));
+                    same ? known.reconfigured(target, limit, now) : new TargetState(target, limit, first, now));
         }
         targets = next;
-        configured = true;
-        measuring.resize(service.measuringPerMille(), (double) service.slotsPerTarget() * next.size());
+        service = changed;
+        measuring.resize(changed.measuringPerMille(), (double) changed.slotsPerTarget() * next.size());
+    }
+
+    /** Notes how many daemons share the connections that a target takes. */
+    void noteDaemons(int count, long now) {
+        if (count == daemons) {
+            return;
+        }
+        daemons = count;
+        if (service != null) {
+            configure(service, now);
+        }
+    }
+
+    /** A call in flight holds at most one connection, so a share of the connections bounds the calls. */
+    private int callsPerTarget(ServiceConfig of) {
+        return Math.min(of.slotsPerTarget(), Math.max(1, of.connectionsPerTarget() / daemons));
     }
 
     /** Notes which hosts or addresses the platform lists as leaving. */
--- a/anvilpick-core/src/main/java/io/anvilpick/routing/TargetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/TargetState.java
@@ -10,6 +10,9 @@
     /** Score of a target that is as fast as its siblings. */
     static final double USUAL_SCORE = 1.0;
 
+    /** Score from which a target is so slow that waiting for another one may be faster. */
+    static final double SLOW_SCORE = 2.0;
+
     private static final double ANSWER_WEIGHT = 0.3;
     private static final long SHORT_HALF_LIFE_NANOS = 10_000_000L;
     private static final long LASTING_HALF_LIFE_NANOS = 160_000_000L;
@@ -20,7 +23,6 @@
     private static final long DRAIN_BELIEF_NANOS = 30_000_000_000L;
     private static final int FAILURES_TO_EJECT = 3;
     private static final int FAILURES_TO_EJECT_FOR_CERTAIN = 10;
-    private static final double SLOW_SCORE = 2.0;
 
     private final TargetConfig config;
     private final int slots;
--- a/anvilpick-core/src/test/java/io/anvilpick/routing/DispatcherTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/routing/DispatcherTest.java
@@ -63,6 +63,30 @@
         assertTrue(with.latencyMillis("a", 0.99) <= 1.3 * without);
     }
 
+    /** Every daemon keeps to its share, so that all together never ask a target for more connections than it takes. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 6, 28, 60, 220, 500})
+    void callsInFlightOfAllDaemonsStayWithinTheConnectionsOfATarget(int daemons) {
+        int connections = 220;
+        ManualTimeSource time = ManualTimeSource.startingAt(0);
+        Dispatcher dispatcher =
+                Dispatcher.builder().time(time).random(new SplittableRandom(1)).build();
+        ServiceConfig service = ServiceConfig.builder("s")
+                .slotsPerTarget(64)
+                .connectionsPerTarget(connections)
+                .requests(List.of(FakeTargets.LOOKUP))
+                .targets(List.of(new TargetConfig("t", "127.0.0.1", 1, "z", false)))
+                .build();
+        dispatcher.configure(service, FakeTargets.configurationOf(service));
+        dispatcher.noteDaemons(daemons);
+        int assigned = 0;
+        for (int i = 0; i < 2 * connections; i++) {
+            Call call = new Call(i, "a", FakeTargets.LOOKUP, Deadline.after(time, Duration.ofSeconds(1)));
+            assigned += dispatcher.submit(call) instanceof Admission.Assigned ? 1 : 0;
+        }
+        assertEquals(Math.min(64, Math.max(1, connections / daemons)), assigned);
+    }
+
     @Test
     void targetThatFailsFastDoesNotAttractCalls() {
         FakeTargets fake = fake(OURS, 1);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/Daemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/Daemon.java
@@ -3,17 +3,14 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSortedMap;
 import com.linecorp.armeria.client.ClientFactory;
-import io.anvilpick.calls.CallRunner;
-import io.anvilpick.calls.CrashGuard;
 import io.anvilpick.calls.DispatcherRegistry;
-import io.anvilpick.calls.Sender;
 import io.anvilpick.claims.ClaimMap;
 import io.anvilpick.claims.ClaimTable;
 import io.anvilpick.config.ConfigurationCodec;
+import io.anvilpick.config.ConfigurationException;
 import io.anvilpick.config.ConfigurationStore;
 import io.anvilpick.config.InForce;
 import io.anvilpick.config.SnapshotAssembler;
-import io.anvilpick.crashes.CrashLedger;
 import io.anvilpick.daemon.control.ConfigWatch;
 import io.anvilpick.daemon.control.ControlLoops;
 import io.anvilpick.daemon.control.Gossip;
@@ -24,8 +21,6 @@
 import io.anvilpick.daemon.front.HttpFront;
 import io.anvilpick.daemon.front.StatusPage;
 import io.anvilpick.daemon.metrics.CallMetrics;
-import io.anvilpick.daemon.target.HttpTargetClient;
-import io.anvilpick.membership.AddressAdvisor;
 import io.anvilpick.membership.Member;
 import io.anvilpick.membership.MemberTable;
 import io.anvilpick.peer.PeerClient;
@@ -33,7 +28,6 @@
 import io.anvilpick.platform.http.HttpPlatform;
 import io.anvilpick.replication.ClaimMapStore;
 import io.anvilpick.replication.ClaimMaps;
-import io.anvilpick.replication.Claimer;
 import io.anvilpick.replication.GroupMover;
 import io.anvilpick.replication.ReplicaCaller;
 import io.anvilpick.routing.Dispatcher;
@@ -47,8 +41,6 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Locale;
-import java.util.SplittableRandom;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
@@ -58,16 +50,12 @@
     private static final Logger LOG = Logger.getLogger(Daemon.class);
     private static final int PEER_THREADS = 2;
     private static final long ALARM_TICK_MILLIS = 2;
-    private static final long MOST_BODY_BYTES = 8L * 1024 * 1024;
     private static final Duration HANDOVER_POLL = Duration.ofMillis(100);
 
     private final DaemonSettings settings;
-    private final TimeSource time = TimeSource.system();
-    private final SecureRandom random = new SecureRandom();
-    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
-    private final EventLoopGroup peerThreads = new MultiThreadIoEventLoopGroup(PEER_THREADS, NioIoHandler.newFactory());
-    private final HashedWheelTimer alarms = new HashedWheelTimer(ALARM_TICK_MILLIS, TimeUnit.MILLISECONDS);
-    private final ClientFactory clients = ClientFactory.builder().build();
+    private final CallPath.Machinery machinery;
+    private final TimeSource time;
+    private final SecureRandom random;
     private final ConfigurationCodec codec = new ConfigurationCodec();
     private final InForce inForce = new InForce();
     private final CallMetrics metrics = new CallMetrics(inForce);
@@ -81,8 +69,12 @@
     private final ControlLoops loops;
     private final HttpFront front;
 
-    private Daemon(DaemonSettings settings) throws InterruptedException {
+    private Daemon(DaemonSettings settings, CallPath.Machinery machinery, EventLoopGroup peerThreads)
+            throws InterruptedException {
         this.settings = settings;
+        this.machinery = machinery;
+        this.time = machinery.time();
+        this.random = machinery.random();
         // The port towards peers is part of the daemon's description, so its server is bound before the rest is made.
         PeerServiceHolder late = new PeerServiceHolder();
         this.peerServer =
@@ -97,33 +89,45 @@
         PeerService peerService = new PeerService(knowledge, claimTable, sample);
         late.serve(peerService);
         this.gossip = new Gossip(new Gossip.Parts(
-                knowledge, sample, peerClient, new SnapshotAssembler(codec), threads, time, random, settings.seeds()));
+                knowledge,
+                sample,
+                peerClient,
+                new SnapshotAssembler(codec),
+                machinery.threads(),
+                time,
+                random,
+                settings.seeds()));
         peerService.fetchNewsBy(gossip);
         ReplicaCaller replicas = new ReplicaCaller(self.instance(), members, peerClient, peerService);
-        Claimer claimer = new Claimer(claimMaps, replicas, time, random);
-        HttpTargetClient targets = new HttpTargetClient(clients, MOST_BODY_BYTES, time, threads);
-        CrashGuard crashes = new CrashGuard(new CrashLedger(time), claimer, targets, gossip::broadcast, time);
-        peerService.tellCrashesTo(crashes);
-        Sender sender = new Sender(targets, crashes, metrics, time, this::setAlarm);
-        CallRunner runner =
-                new CallRunner(new CallRunner.Parts(inForce, dispatchers, sender, claimer, crashes, metrics, time));
-        this.front = new HttpFront(new HttpFront.Parts(
+        CallPath path = new CallPath(new CallPath.Parts(
                 new InetSocketAddress(settings.host(), settings.callPort()),
-                MOST_BODY_BYTES,
-                runner,
-                inForce,
-                new AddressAdvisor(members, random),
-                threads,
-                time,
-                this::status,
-                metrics::scrape));
+                machinery,
+                knowledge,
+                metrics,
+                replicas,
+                gossip::broadcast,
+                this::status));
+        peerService.tellCrashesTo(path.crashes());
+        this.front = path.front();
         addGauges();
         this.loops = startLoops(claimTable, claimMaps, replicas);
     }
 
-    /** Returns a daemon that serves, blocking until it listens. */
+    /**
+     * Returns a daemon that serves, blocking until it has warmed up and listens.
+     *
+     * <p>No other daemon and no caller hears of it before it is warm, so that none waits for cold code.
+     */
     public static Daemon start(DaemonSettings settings) throws InterruptedException {
-        Daemon daemon = new Daemon(settings);
+        CallPath.Machinery machinery = new CallPath.Machinery(
+                newClients(),
+                Executors.newVirtualThreadPerTaskExecutor(),
+                new HashedWheelTimer(ALARM_TICK_MILLIS, TimeUnit.MILLISECONDS),
+                TimeSource.system(),
+                new SecureRandom());
+        EventLoopGroup peerThreads = new MultiThreadIoEventLoopGroup(PEER_THREADS, NioIoHandler.newFactory());
+        warmUp(settings.warmUpCalls(), machinery, peerThreads);
+        Daemon daemon = new Daemon(settings, machinery, peerThreads);
         daemon.front.start();
         LOG.infof(
                 "event=daemon_started instance=%s calls=%s peers=%s region=%s zone=%s",
@@ -135,6 +139,31 @@
         return daemon;
     }
 
+    /** One event loop for each target, so that connections to it are shared and no more than its calls in flight. */
+    private static ClientFactory newClients() {
+        return ClientFactory.builder()
+                .maxNumEventLoopsPerEndpoint(1)
+                .maxNumEventLoopsPerHttp1Endpoint(1)
+                .build();
+    }
+
+    /** A warm-up that fails costs speed at first and nothing else, so the daemon starts all the same. */
+    private static void warmUp(int calls, CallPath.Machinery machinery, EventLoopGroup peerThreads)
+            throws InterruptedException {
+        if (calls == 0) {
+            return;
+        }
+        long startNanos = machinery.time().nanos();
+        try {
+            WarmUp.Result result = new WarmUp(machinery, peerThreads).run(calls);
+            long millis =
+                    Duration.ofNanos(machinery.time().nanos() - startNanos).toMillis();
+            LOG.infof("event=warmed_up calls=%d answered=%d millis=%d", result.calls(), result.answered(), millis);
+        } catch (ConfigurationException | RuntimeException e) {
+            LOG.warnf(e, "event=warm_up_failed");
+        }
+    }
+
     /**
      * Shuts down without cutting a call: leaves the answers to callers, hands over the claims it holds, serves callers
      * who keep its address, and ends once no call is in flight.
@@ -161,10 +190,6 @@
         peerClient.close();
     }
 
-    private void setAlarm(long nanos, Runnable action) {
-        alarms.newTimeout(timeout -> action.run(), nanos, TimeUnit.NANOSECONDS);
-    }
-
     private boolean holdsClaims() {
         return knowledge.claimMaps().current().groups().stream()
                 .anyMatch(group -> group.replicas().contains(self.instance()));
@@ -181,15 +206,11 @@
     }
 
     private Dispatcher newDispatcher() {
-        return Dispatcher.builder()
-                .time(time)
-                .random(new SplittableRandom(random.nextLong()))
-                .policy(settings.policy())
-                .build();
+        return machinery.newDispatcher(settings.policy());
     }
 
     private ControlLoops startLoops(ClaimTable claimTable, ClaimMaps claimMaps, ReplicaCaller replicas) {
-        HttpPlatform platform = HttpPlatform.at(settings.platform(), clients, time);
+        HttpPlatform platform = HttpPlatform.at(settings.platform(), machinery.clients(), time);
         ConfigWatch watch = new ConfigWatch(knowledge, platform, new ConfigurationStore(platform, codec), gossip, time);
         GroupMover mover = GroupMover.builder(self.instance(), settings.region())
                 .members(members)
@@ -201,7 +222,9 @@
                 .onMoved(gossip::broadcastOwnState)
                 .build();
         return ControlLoops.start(
-                new ControlLoops.Parts(gossip, watch, new Registration(platform, members), mover, claimTable), random);
+                new ControlLoops.Parts(
+                        knowledge, gossip, watch, new Registration(platform, members), mover, claimTable),
+                random);
     }
 
     private void addGauges() {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/DaemonMain.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/DaemonMain.java
@@ -20,6 +20,8 @@
     private static final int DEFAULT_PEER_PORT = 7080;
     private static final int DEFAULT_DRAIN_MILLIS = 8_000;
     private static final int MOST_DRAIN_MILLIS = 600_000;
+    private static final int DEFAULT_WARM_UP_CALLS = 8_000;
+    private static final int MOST_WARM_UP_CALLS = 1_000_000;
 
     @AirlineModule
     private HelpOption<DaemonMain> help;
@@ -54,6 +56,11 @@
     @Option(name = "--drain-ms", description = "Milliseconds to go on serving after SIGTERM (default 8000)")
     private @Nullable String drainMillis;
 
+    @Option(
+            name = "--warm-up-calls",
+            description = "Calls that the daemon makes to itself before it takes callers (default 8000; 0 for none)")
+    private @Nullable String warmUpCalls;
+
     @Option(name = "--policy", description = "Baseline policy for benchmarks", hidden = true)
     private @Nullable String policy;
 
@@ -113,7 +120,8 @@
                 reader.address("--platform", platform),
                 reader.addresses("--seeds", seeds),
                 policyOf(reader.text("--policy", policy, "late-binding")),
-                reader.wholeNumber("--drain-ms", drainMillis, 0, MOST_DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS));
+                reader.wholeNumber("--drain-ms", drainMillis, 0, MOST_DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS),
+                reader.wholeNumber("--warm-up-calls", warmUpCalls, 0, MOST_WARM_UP_CALLS, DEFAULT_WARM_UP_CALLS));
     }
 
     private static TargetPolicy policyOf(String name) {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/DaemonSettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/DaemonSettings.java
@@ -16,6 +16,7 @@
  * @param seeds peer addresses to start from where the platform is down
  * @param policy how targets are chosen; another one than late binding is for benchmarks only
  * @param drainMillis milliseconds for which a daemon that shuts down still serves callers who keep its address
+ * @param warmUpCalls calls that a daemon makes to itself before it takes callers; zero for none
  */
 public record DaemonSettings(
         String host,
@@ -27,4 +28,5 @@
         String platform,
         ImmutableList<String> seeds,
         TargetPolicy policy,
-        long drainMillis) {}
+        long drainMillis,
+        int warmUpCalls) {}
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/ControlLoops.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/ControlLoops.java
@@ -17,6 +17,7 @@
     private static final Duration MOVE_EVERY = Duration.ofMillis(500);
     private static final Duration REGISTER_EVERY = Duration.ofSeconds(10);
     private static final Duration LIST_VMS_EVERY = Duration.ofSeconds(2);
+    private static final Duration COUNT_DAEMONS_EVERY = Duration.ofSeconds(1);
     private static final Duration FORGET_EVERY = Duration.ofSeconds(10);
     private static final Duration CHECK_WATCHER_EVERY = Duration.ofSeconds(1);
     private static final Duration SHORTEST_PAUSE = Duration.ofMillis(200);
@@ -33,7 +34,12 @@
 
     /** What the loops drive. */
     public record Parts(
-            Gossip gossip, ConfigWatch watch, Registration registration, GroupMover mover, ClaimTable claims) {}
+            Knowledge knowledge,
+            Gossip gossip,
+            ConfigWatch watch,
+            Registration registration,
+            GroupMover mover,
+            ClaimTable claims) {}
 
     private ControlLoops(RandomGenerator random) {
         this.random = random;
@@ -46,6 +52,7 @@
         loops.add("gossip", GOSSIP_EVERY, parts.gossip()::round);
         loops.add("configuration", Duration.ZERO, () -> followConfiguration(parts.watch()));
         loops.add("vms", LIST_VMS_EVERY, () -> followVms(parts.watch()));
+        loops.add("daemons", COUNT_DAEMONS_EVERY, parts.knowledge()::countDaemons);
         loops.add("mover", MOVE_EVERY, () -> move(parts.mover()));
         loops.add("forget", FORGET_EVERY, () -> parts.claims().forgetOld());
         return loops;
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/Knowledge.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/Knowledge.java
@@ -3,6 +3,8 @@
 import io.anvilpick.calls.DispatcherRegistry;
 import io.anvilpick.config.InForce;
 import io.anvilpick.membership.LeavingList;
+import io.anvilpick.membership.Liveness;
+import io.anvilpick.membership.Member;
 import io.anvilpick.membership.MemberTable;
 import io.anvilpick.replication.ClaimMaps;
 import java.util.concurrent.locks.ReentrantLock;
@@ -39,11 +41,28 @@
         return members;
     }
 
+    /** Returns the dispatchers, which follow the configuration and the list of VMs that leave. */
+    public DispatcherRegistry dispatchers() {
+        return dispatchers;
+    }
+
     /** Returns the latest list of VMs that leave. */
     public LeavingList leaving() {
         return leaving;
     }
 
+    /** Counts the daemons of the region that may hold connections to targets, and tells the dispatchers. */
+    public void countDaemons() {
+        String region = members.own().map(Member::region).orElse("");
+        int count = 0;
+        for (MemberTable.Known known : members.all()) {
+            boolean mayConnect =
+                    known.liveness() != Liveness.GONE && known.member().region().equals(region);
+            count += mayConnect ? 1 : 0;
+        }
+        dispatchers.noteDaemons(Math.max(1, count));
+    }
+
     /** Takes up {@code list} if it is later than the one known. */
     public void offerLeaving(LeavingList list) {
         lock.lock();
--- a/anvilpick-it/src/test/java/io/anvilpick/it/TestSystem.java
+++ b/anvilpick-it/src/test/java/io/anvilpick/it/TestSystem.java
@@ -138,7 +138,9 @@
                 "--zone",
                 "zone-" + index % 3,
                 "--platform",
-                platformAddress));
+                platformAddress,
+                "--warm-up-calls",
+                "0"));
         Collections.addAll(arguments, flags);
         return start("daemon" + index + "-" + System.nanoTime(), DaemonMain.class, arguments);
     }
--- a/anvilpick-load/src/main/java/io/anvilpick/load/capacity/SampleState.java
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/capacity/SampleState.java
@@ -1,7 +1,6 @@
 package io.anvilpick.load.capacity;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSortedMap;
 import io.anvilpick.claims.Claim;
 import io.anvilpick.claims.ClaimGroup;
@@ -13,12 +12,10 @@
 import io.anvilpick.config.ConfigurationCodec;
 import io.anvilpick.config.ConfigurationException;
 import io.anvilpick.config.Contract;
-import io.anvilpick.config.Head;
 import io.anvilpick.config.Operator;
 import io.anvilpick.config.RequestConfig;
 import io.anvilpick.config.ServiceConfig;
 import io.anvilpick.config.Signatures;
-import io.anvilpick.config.SignedHead;
 import io.anvilpick.config.Snapshot;
 import io.anvilpick.config.SnapshotAssembler;
 import io.anvilpick.config.TargetConfig;
@@ -72,20 +69,8 @@
 
     /** Returns the version {@code version} of a configuration of {@code services}, whole. */
     static Snapshot snapshot(int services, long version) throws ConfigurationException {
-        ConfigurationCodec codec = new ConfigurationCodec();
-        Configuration configuration = configuration(services, (int) version);
-        Snapshot.Parts parts = Snapshot.split(codec, configuration.services());
-        Head head = new Head(
-                version,
-                "change",
-                "bench",
-                version,
-                configuration.contract(),
-                configuration.tenants(),
-                parts.buckets());
-        String text = codec.encode(head);
-        SignedHead signed = new SignedHead(text, Signatures.sign(KEYS.privateKey(), text));
-        return new SnapshotAssembler(codec).assemble(signed, null, digests -> ImmutableMap.copyOf(parts.texts()));
+        return new SnapshotAssembler(new ConfigurationCodec())
+                .sign(configuration(services, (int) version), version, "change", KEYS.privateKey());
     }
 
     static Member member(int number) {
--- a/bin/bench-fleet.sh
+++ b/bin/bench-fleet.sh
@@ -63,7 +63,8 @@
     local i addresses= peers=
     for ((i = 0; i < $2; i++)); do
         start "$1-$i" -Xmx256m io.anvilpick.daemon.DaemonMain --call-port $next_port --peer-port $((next_port + 1)) \
-            --region "$1" --zone "z$((i % 3))" --platform "${platform_address:-127.0.0.1:$platform_port}" --policy "$3"
+            --region "$1" --zone "z$((i % 3))" --platform "${platform_address:-127.0.0.1:$platform_port}" --policy "$3" \
+            --warm-up-calls "${warm_up_calls:-0}"
         addresses=$addresses,127.0.0.1:$next_port
         peers=$peers,127.0.0.1:$((next_port + 1))
         next_port=$((next_port + 2))
