Bound the bodies a daemon holds; suspects by size of region; more proofs

Cause: bodies were held whole without a bound on all together, so that slow callers could run a daemon out of memory.

Change: HeldBytes counts request bodies and answers until the caller has taken the answer; new calls beyond a quarter of the heap (--held-megabytes) are refused as overloaded, not_run. A member is suspect after 200 ms for each member known, 3 s at least. Tests: cut answers, own answers over HTTP/1.1 and HTTP/2, large bodies, slow callers, a crashing request sent to all daemons at once, contract handover while daemons are parted. The load programs share one main; HandoverTest its set-up.

At six daemons it stays 3 s.

--- a/anvilpick-core/src/main/java/io/anvilpick/error/ErrorKind.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/error/ErrorKind.java
@@ -26,7 +26,7 @@
     NO_CONFIGURATION,
     /** No target could be connected to. */
     NO_TARGET,
-    /** The call could not be answered in time and was shed before it was sent. */
+    /** The call could not be answered in time, or the daemon holds too much already; it was shed before it was sent. */
     OVERLOADED,
     /** The deadline passed before any byte was sent to a target. */
     DEADLINE_BEFORE_SEND,
--- a/anvilpick-core/src/main/java/io/anvilpick/membership/MemberTable.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/membership/MemberTable.java
@@ -21,7 +21,7 @@
     public static final Duration SUSPECT_AFTER = Duration.ofSeconds(3);
 
     /** Time by which that grows with each member known, since a gossip message tells only of some. */
-    public static final Duration SUSPECT_LATER_PER_MEMBER = Duration.ofMillis(80);
+    public static final Duration SUSPECT_LATER_PER_MEMBER = Duration.ofMillis(200);
 
     /** Time after which a member that is suspect or gone is dropped from the table. */
     public static final Duration FORGET_AFTER = Duration.ofMinutes(10);
@@ -33,6 +33,12 @@
     private final AtomicInteger count = new AtomicInteger();
     private final Shards<Map<String, Row>> rows = Shards.create(SHARDS, HashMap::new);
 
+    /** Returns the time without a rising beat after which a member is suspect where {@code members} are known. */
+    public static Duration suspectAfter(int members) {
+        Duration byMembers = SUSPECT_LATER_PER_MEMBER.multipliedBy(members);
+        return byMembers.compareTo(SUSPECT_AFTER) > 0 ? byMembers : SUSPECT_AFTER;
+    }
+
     private record Row(Member member, long risenAtNanos, boolean gone) {}
 
     /** A member and what is known of its life. */
@@ -149,7 +155,7 @@
     }
 
     private long suspectAfterNanos() {
-        return Math.max(SUSPECT_AFTER.toNanos(), SUSPECT_LATER_PER_MEMBER.toNanos() * count.get());
+        return suspectAfter(count.get()).toNanos();
     }
 
     private boolean isForgotten(Row row, long now) {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/CallPath.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/CallPath.java
@@ -53,11 +53,13 @@
      * What a path works with.
      *
      * @param address where callers connect
+     * @param mostHeldBytes bytes of bodies held at a time beyond which new calls are refused
      * @param tellPeers tells every daemon of the region
      * @param status the daemon's word of itself
      */
     record Parts(
             InetSocketAddress address,
+            long mostHeldBytes,
             Machinery machinery,
             Knowledge knowledge,
             CallMetrics metrics,
@@ -80,6 +82,7 @@
         this.front = new HttpFront(new HttpFront.Parts(
                 parts.address(),
                 MOST_BODY_BYTES,
+                parts.mostHeldBytes(),
                 runner,
                 knowledge.inForce(),
                 new AddressAdvisor(knowledge.members(), machinery.random()),
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/Daemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/Daemon.java
@@ -101,6 +101,7 @@
         ReplicaCaller replicas = new ReplicaCaller(self.instance(), members, peerClient, peerService);
         CallPath path = new CallPath(new CallPath.Parts(
                 new InetSocketAddress(settings.host(), settings.callPort()),
+                settings.mostHeldBytes(),
                 machinery,
                 knowledge,
                 metrics,
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/DaemonMain.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/DaemonMain.java
@@ -20,6 +20,8 @@
     private static final int DEFAULT_PEER_PORT = 7080;
     private static final int DEFAULT_DRAIN_MILLIS = 8_000;
     private static final int MOST_DRAIN_MILLIS = 600_000;
+    private static final int MOST_HELD_MEGABYTES = 1_000_000;
+    private static final long BYTES_PER_MEGABYTE = 1024 * 1024;
     private static final int DEFAULT_WARM_UP_CALLS = 8_000;
     private static final int MOST_WARM_UP_CALLS = 1_000_000;
 
@@ -56,6 +58,11 @@
     @Option(name = "--drain-ms", description = "Milliseconds to go on serving after SIGTERM (default 8000)")
     private @Nullable String drainMillis;
 
+    @Option(
+            name = "--held-megabytes",
+            description = "Megabytes of bodies held at a time; more calls are refused (default a quarter of the heap)")
+    private @Nullable String heldMegabytes;
+
     @Option(
             name = "--warm-up-calls",
             description = "Calls that the daemon makes to itself before it takes callers (default 8000; 0 for none)")
@@ -121,9 +128,16 @@
                 reader.addresses("--seeds", seeds),
                 policyOf(reader.text("--policy", policy, "late-binding")),
                 reader.wholeNumber("--drain-ms", drainMillis, 0, MOST_DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS),
+                BYTES_PER_MEGABYTE
+                        * reader.wholeNumber(
+                                "--held-megabytes", heldMegabytes, 1, MOST_HELD_MEGABYTES, quarterOfTheHeap()),
                 reader.wholeNumber("--warm-up-calls", warmUpCalls, 0, MOST_WARM_UP_CALLS, DEFAULT_WARM_UP_CALLS));
     }
 
+    private static int quarterOfTheHeap() {
+        return (int) Math.clamp(Runtime.getRuntime().maxMemory() / BYTES_PER_MEGABYTE / 4, 1, MOST_HELD_MEGABYTES);
+    }
+
     private static TargetPolicy policyOf(String name) {
         return switch (name) {
             case "random" -> new TargetPolicy.UniformRandom();
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/DaemonSettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/DaemonSettings.java
@@ -16,6 +16,7 @@
  * @param seeds peer addresses to start from where the platform is down
  * @param policy how targets are chosen; another one than late binding is for benchmarks only
  * @param drainMillis milliseconds for which a daemon that shuts down still serves callers who keep its address
+ * @param mostHeldBytes bytes of bodies held at a time beyond which new calls are refused
  * @param warmUpCalls calls that a daemon makes to itself before it takes callers; zero for none
  */
 public record DaemonSettings(
@@ -29,4 +30,5 @@
         ImmutableList<String> seeds,
         TargetPolicy policy,
         long drainMillis,
+        long mostHeldBytes,
         int warmUpCalls) {}
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/WarmUp.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/WarmUp.java
@@ -107,6 +107,7 @@
                     new PeerService(knowledge, ownClaims, new MemberSample(knowledge.members(), machinery.random()));
             CallPath path = new CallPath(new CallPath.Parts(
                     new InetSocketAddress(LOOPBACK, 0),
+                    Long.MAX_VALUE,
                     machinery,
                     knowledge,
                     new CallMetrics(knowledge.inForce()),
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/front/CallService.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/front/CallService.java
@@ -16,6 +16,7 @@
 import io.anvilpick.calls.Header;
 import io.anvilpick.error.CallException;
 import io.anvilpick.error.ErrorKind;
+import io.anvilpick.limits.HeldBytes;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
 import java.time.Duration;
@@ -38,29 +39,48 @@
     private final ExecutorService threads;
     private final TimeSource time;
     private final Connections connections;
+    private final HeldBytes bodies;
 
-    CallService(CallRunner runner, ExecutorService threads, TimeSource time, Connections connections) {
+    CallService(
+            CallRunner runner, ExecutorService threads, TimeSource time, Connections connections, HeldBytes bodies) {
         this.runner = runner;
         this.threads = threads;
         this.time = time;
         this.connections = connections;
+        this.bodies = bodies;
     }
 
     @Override
     public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
         long arrivedNanos = time.nanos();
+        long stated = Math.max(0, request.headers().contentLength());
+        if (!bodies.tryHold(stated)) {
+            return ErrorAnswers.of(ErrorKind.OVERLOADED, "this daemon holds as many bytes of bodies as it may");
+        }
+        releaseAtTheEnd(context, stated);
         CompletableFuture<HttpResponse> response = new CompletableFuture<>();
         request.aggregate().handle((whole, failure) -> {
             if (failure != null) {
                 response.complete(ErrorAnswers.of(ErrorKind.BODY_TOO_LARGE, "body: is too large or was cut off"));
                 return null;
             }
+            holdUntilTheEnd(context, Math.max(0, whole.content().length() - stated));
             start(context, whole, arrivedNanos, response);
             return null;
         });
         return HttpResponse.of(response);
     }
 
+    private void holdUntilTheEnd(ServiceRequestContext context, long bytes) {
+        bodies.hold(bytes);
+        releaseAtTheEnd(context, bytes);
+    }
+
+    /** A body counts until the caller has taken the answer or gone away, so that slow callers count too. */
+    private void releaseAtTheEnd(ServiceRequestContext context, long bytes) {
+        context.log().whenComplete().thenRun(() -> bodies.release(bytes));
+    }
+
     private void start(
             ServiceRequestContext context,
             AggregatedHttpRequest whole,
@@ -76,7 +96,9 @@
 
     private HttpResponse answer(ServiceRequestContext context, AggregatedHttpRequest whole, long arrivedNanos) {
         try {
-            return answerOf(runner.run(callOf(context, whole, arrivedNanos)));
+            CallAnswer answer = runner.run(callOf(context, whole, arrivedNanos));
+            holdUntilTheEnd(context, answer.body().length);
+            return answerOf(answer);
         } catch (CallException e) {
             return ErrorAnswers.of(e.kind(), e.getMessage());
         } catch (InterruptedException e) {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/front/HttpFront.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/front/HttpFront.java
@@ -15,6 +15,7 @@
 import io.anvilpick.config.ServiceConfig;
 import io.anvilpick.config.Snapshot;
 import io.anvilpick.error.ErrorKind;
+import io.anvilpick.limits.HeldBytes;
 import io.anvilpick.membership.AddressAdvisor;
 import io.anvilpick.membership.AddressAnswer;
 import io.anvilpick.time.TimeSource;
@@ -42,6 +43,7 @@
      * What the front end shows.
      *
      * @param mostBodyBytes largest request body that is taken
+     * @param mostHeldBytes bytes of bodies held at a time beyond which new calls are refused
      * @param threads where calls run
      * @param status the daemon's word of itself
      * @param metrics the counts in the text format of scrapers
@@ -49,6 +51,7 @@
     public record Parts(
             InetSocketAddress address,
             long mostBodyBytes,
+            long mostHeldBytes,
             CallRunner runner,
             InForce inForce,
             AddressAdvisor advisor,
@@ -60,7 +63,8 @@
     /** Creates a server that does not listen yet. */
     public HttpFront(Parts parts) {
         this.parts = parts;
-        CallService calls = new CallService(parts.runner(), parts.threads(), parts.time(), connections);
+        CallService calls = new CallService(
+                parts.runner(), parts.threads(), parts.time(), connections, HeldBytes.atMost(parts.mostHeldBytes()));
         this.server = Server.builder()
                 .port(parts.address(), SessionProtocol.HTTP)
                 .maxRequestLength(parts.mostBodyBytes())
--- /dev/null
+++ b/anvilpick-it/src/test/java/io/anvilpick/it/AnswersTest.java
@@ -0,0 +1,158 @@
+package io.anvilpick.it;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Every caller gets the whole answer to its own request, or is told truly that there is none. */
+class AnswersTest {
+    private static final int MEGABYTE = 1024 * 1024;
+    private static final int CALLERS = 200;
+
+    @TempDir
+    Path folder;
+
+    private TestSystem startDaemonFor(TestSystem system, String... flags) throws Exception {
+        system.await(
+                "platform", () -> system.get(system.platformAddress, "/v1/vms").status() == 200);
+        system.startDaemon(flags);
+        system.accept(0, "");
+        system.awaitReady();
+        return system;
+    }
+
+    @Test
+    void answerThatWasCutIsNeverPassedOnAsComplete() throws Exception {
+        String half = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 100\r\n\r\nonly the first half";
+        int port = TestSystem.freePort();
+        try (RawTarget cutting = RawTarget.start(port, half);
+                TestSystem system = new TestSystem(folder)) {
+            system.targetPorts.add(port);
+            startDaemonFor(system);
+            TestSystem.Answer lookup = system.get(system.daemonAddresses.get(0), "/s/tillhand/tallies/1");
+            assertCut(lookup);
+            system.await(
+                    "claims",
+                    () -> system.charge(0, UUID.randomUUID().toString(), "12 EUR")
+                                    .status()
+                            != 503);
+            String key = UUID.randomUUID().toString();
+            int before = cutting.requests();
+            assertCut(system.charge(0, key, "12 EUR"));
+            assertEquals(before + 1, cutting.requests(), "a charge is sent once");
+            TestSystem.Answer again = system.charge(0, key, "12 EUR");
+            assertEquals("key_outcome_unknown", again.header("anvilpick-error"), again.body());
+            assertEquals(before + 1, cutting.requests(), "and never again under its key");
+        }
+    }
+
+    private static void assertCut(TestSystem.Answer answer) {
+        assertEquals(502, answer.status(), answer.body());
+        assertEquals("answer_cut", answer.header("anvilpick-error"));
+        assertEquals("unknown", answer.header("anvilpick-outcome"));
+        assertFalse(answer.body().contains("only the first half"));
+    }
+
+    @ParameterizedTest
+    @EnumSource(HttpClient.Version.class)
+    void everyCallerGetsItsOwnAnswer(HttpClient.Version version) throws Exception {
+        try (TestSystem system = new TestSystem(folder);
+                HttpClient client = HttpClient.newBuilder().version(version).build()) {
+            system.startTargets(3);
+            startDaemonFor(system);
+            List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                HttpRequest request = HttpRequest.newBuilder(
+                                URI.create("http://" + system.daemonAddresses.get(0) + "/s/tillhand/tallies/" + i))
+                        .header("x-run-id", "caller-" + i)
+                        .timeout(Duration.ofSeconds(30))
+                        .build();
+                answers.add(client.sendAsync(request, HttpResponse.BodyHandlers.ofString()));
+            }
+            for (int i = 0; i < CALLERS; i++) {
+                HttpResponse<String> answer = answers.get(i).join();
+                assertEquals(200, answer.statusCode(), answer.body());
+                assertTrue(answer.body().contains(" caller-" + i + " "), answer.body());
+                assertEquals(version, answer.version());
+            }
+        }
+    }
+
+    @Test
+    void largeBodiesComeBackWholeAndTooLargeOnesAreRefusedAsNotRun() throws Exception {
+        try (TestSystem system = new TestSystem(folder)) {
+            system.startTargets(1);
+            startDaemonFor(system);
+            system.awaitClaims();
+            String body = "0123456789abcdef".repeat(5 * MEGABYTE / 16);
+            TestSystem.Answer answer = system.charge(0, UUID.randomUUID().toString(), body);
+            assertEquals(200, answer.status());
+            assertTrue(answer.body().endsWith(body), "the target sends back what it got");
+            String key = UUID.randomUUID().toString();
+            TestSystem.Answer refused = system.charge(0, key, "x".repeat(9 * MEGABYTE));
+            assertEquals(413, refused.status(), refused.body());
+            assertEquals(0, system.runsOf(key));
+        }
+    }
+
+    @Test
+    void slowCallersMakeTheDaemonRefuseNewCallsAsNotRunAndNotRunOutOfMemory() throws Exception {
+        try (TestSystem system = new TestSystem(folder)) {
+            system.startTargets(1);
+            startDaemonFor(system, "--held-megabytes", "24");
+            system.awaitClaims();
+            String address = system.daemonAddresses.get(0);
+            List<Socket> slow = new ArrayList<>();
+            for (int i = 0; i < 2; i++) {
+                slow.add(callWithoutReadingTheAnswer(address, 7 * MEGABYTE));
+            }
+            system.await("the daemon to be full", () -> {
+                TestSystem.Answer answer = system.get(address, "/s/tillhand/tallies/1");
+                return answer.status() == 503
+                        && answer.header("anvilpick-error").equals("overloaded")
+                        && answer.header("anvilpick-outcome").equals("not_run");
+            });
+            for (Socket socket : slow) {
+                socket.close();
+            }
+            system.await(
+                    "the daemon to serve again",
+                    () -> system.get(address, "/s/tillhand/tallies/1").status() == 200);
+            assertTrue(system.daemons.get(0).isAlive());
+        }
+    }
+
+    /** The receive buffer is small, so that most of the answer has to stay in the daemon. */
+    private static Socket callWithoutReadingTheAnswer(String address, int bytes) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(4_096);
+        int colon = address.indexOf(':');
+        socket.connect(
+                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+        String head = "POST /s/tillhand/charges HTTP/1.1\r\nhost: anvilpick\r\nidempotency-key: " + UUID.randomUUID()
+                + "\r\ncontent-length: " + bytes + "\r\n\r\n";
+        socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream().write(new byte[bytes]);
+        socket.getOutputStream().flush();
+        return socket;
+    }
+}
--- a/anvilpick-it/src/test/java/io/anvilpick/it/ClaimsUnderFailureTest.java
+++ b/anvilpick-it/src/test/java/io/anvilpick/it/ClaimsUnderFailureTest.java
@@ -3,7 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.UUID;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -133,9 +136,7 @@
             }
             assertEquals(422, answer.status(), answer.body());
             assertEquals("crashing_request", answer.header("anvilpick-error"));
-            long dead =
-                    system.targets.stream().filter(target -> !target.isAlive()).count();
-            assertEquals(2, dead);
+            assertEquals(2, dead(system));
             for (int i = 0; i < DAEMONS; i++) {
                 assertEquals(
                         200,
@@ -147,6 +148,43 @@
         }
     }
 
+    /** All that run at the same instant are lost, since nobody can know yet; no later one is. */
+    @Test
+    void requestThatCrashesTargetsAndIsSentToAllDaemonsAtOnceKillsNoneLater() throws Exception {
+        try (TestSystem system = start(DAEMONS + 3)) {
+            awaitFiveReplicas(system);
+            List<Thread> callers = new ArrayList<>();
+            for (String address : system.daemonAddresses) {
+                callers.add(Thread.startVirtualThread(() -> {
+                    try {
+                        system.get(address, "/s/tillhand/tallies/1?crash=yes");
+                    } catch (IOException | InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                }));
+            }
+            for (Thread caller : callers) {
+                caller.join();
+            }
+            long deadAtOnce = dead(system);
+            assertTrue(deadAtOnce <= DAEMONS + 1, () -> deadAtOnce + " of " + system.targets.size() + " died");
+            for (int i = 0; i < 2 * DAEMONS; i++) {
+                TestSystem.Answer answer =
+                        system.get(system.daemonAddresses.get(i % DAEMONS), "/s/tillhand/tallies/1?crash=yes");
+                assertEquals("crashing_request", answer.header("anvilpick-error"), answer.body());
+            }
+            assertEquals(deadAtOnce, dead(system));
+            assertEquals(
+                    200,
+                    system.get(system.daemonAddresses.get(0), "/s/tillhand/tallies/1")
+                            .status());
+        }
+    }
+
+    private static long dead(TestSystem system) {
+        return system.targets.stream().filter(target -> !target.isAlive()).count();
+    }
+
     /** The map settles once every daemon is a replica of every group, since there are as many as replicas. */
     private static void awaitFiveReplicas(TestSystem system) throws Exception {
         for (String address : system.daemonAddresses) {
--- a/anvilpick-it/src/test/java/io/anvilpick/it/HandoverTest.java
+++ b/anvilpick-it/src/test/java/io/anvilpick/it/HandoverTest.java
@@ -7,34 +7,85 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Callers notice nothing while daemons are replaced one after the other. */
 class HandoverTest {
-    private static final int TERM_SECONDS = 15;
+    private static final int TERM_SECONDS = 20;
     private static final int REFUSED = ExitCode.REFUSED.code();
 
+    private static final int DAEMONS = 3;
+
     @TempDir
     Path folder;
 
+    private final List<Integer> proxyAdmins = new ArrayList<>();
+
+    /** A system of three daemons that other daemons reach through proxies only. */
+    private TestSystem startBehindProxies() throws Exception {
+        TestSystem system = startTargets();
+        for (int i = 0; i < DAEMONS; i++) {
+            int proxyPort = TestSystem.freePort();
+            int admin = TestSystem.freePort();
+            system.startDaemon("--advertised-peer", "127.0.0.1:" + proxyPort);
+            system.startProxy(proxyPort, admin, system.peerAddresses.get(i));
+            proxyAdmins.add(admin);
+        }
+        return system;
+    }
+
+    private TestSystem startDirectly() throws Exception {
+        TestSystem system = startTargets();
+        for (int i = 0; i < DAEMONS; i++) {
+            system.startDaemon();
+        }
+        return system;
+    }
+
+    private TestSystem startTargets() throws Exception {
+        TestSystem system = new TestSystem(folder);
+        system.startTargets(4);
+        system.await(
+                "platform", () -> system.get(system.platformAddress, "/v1/vms").status() == 200);
+        return system;
+    }
+
+    private static RunningProcess startLoad(TestSystem system, int seconds) throws Exception {
+        system.awaitReady();
+        system.awaitClaims();
+        return system.startLoad(
+                seconds, List.of("tillhand,GET,/tallies,50,burgas", "tillhand,POST,/charges,20,burgas"));
+    }
+
+    private static void assertNothingLostDoubledOrCut(RunningProcess load) throws Exception {
+        assertEquals(0, load.exitCode(90), load.output());
+        assertTrue(load.output().contains("lost=0 doubled=0 cut=0"), load.output());
+    }
+
+    /** Holding one proxy alone parts nothing: that daemon still reaches the others through theirs. */
+    private void partAllDaemons(TestSystem system) throws Exception {
+        for (int admin : proxyAdmins) {
+            faults(system, admin, "hold=true");
+        }
+        system.await("a suspect", () -> system.status(0).contains("\"suspect\""));
+    }
+
+    private void heal(TestSystem system) throws Exception {
+        for (int admin : proxyAdmins) {
+            faults(system, admin, "");
+        }
+        system.await("healing", () -> !system.status(0).contains("\"suspect\""));
+    }
+
     @Test
     void rollingRestartOfAllDaemonsUnderLoadCutsNothing() throws Exception {
-        try (TestSystem system = new TestSystem(folder)) {
-            system.startTargets(4);
-            system.await(
-                    "platform",
-                    () -> system.get(system.platformAddress, "/v1/vms").status() == 200);
-            for (int i = 0; i < 3; i++) {
-                system.startDaemon();
-            }
+        try (TestSystem system = startDirectly()) {
             system.accept(0, "");
-            system.awaitReady();
-            system.awaitClaims();
-            RunningProcess load = system.startLoad(
-                    45, List.of("tillhand,GET,/tallies,50,burgas", "tillhand,POST,/charges,20,burgas"));
-            for (int i = 0; i < 3; i++) {
+            RunningProcess load = startLoad(system, 45);
+            for (int i = 0; i < DAEMONS; i++) {
                 RunningProcess old = system.daemons.get(i);
                 old.terminate();
                 assertEquals(0, old.exitCode(40), old.errors());
@@ -43,93 +94,78 @@
                 system.awaitReady();
                 system.awaitClaims();
             }
-            int code = load.exitCode(90);
-            assertEquals(0, code, load.output());
-            assertTrue(load.output().contains("lost=0 doubled=0 cut=0"), load.output());
+            assertNothingLostDoubledOrCut(load);
             assertTrue(load.output().contains(" unknown=0 "), load.output());
         }
     }
 
     @Test
     void partitionAndItsHealingRunNothingTwice() throws Exception {
-        try (TestSystem system = new TestSystem(folder)) {
-            system.startTargets(4);
-            system.await(
-                    "platform",
-                    () -> system.get(system.platformAddress, "/v1/vms").status() == 200);
-            int[] admins = new int[3];
-            for (int i = 0; i < 3; i++) {
-                int proxyPort = TestSystem.freePort();
-                admins[i] = TestSystem.freePort();
-                system.startDaemon("--advertised-peer", "127.0.0.1:" + proxyPort);
-                system.startProxy(proxyPort, admins[i], system.peerAddresses.get(i));
-            }
+        try (TestSystem system = startBehindProxies()) {
             system.accept(0, "");
-            system.awaitReady();
-            system.awaitClaims();
-            RunningProcess load = system.startLoad(
-                    20, List.of("tillhand,GET,/tallies,50,burgas", "tillhand,POST,/charges,20,burgas"));
-            system.await(
-                    "load",
-                    () -> system.get(system.daemonAddresses.get(0), "/anvilpick/v1/health")
-                                    .status()
-                            == 200);
-            // Holding one proxy alone parts nothing: that daemon still reaches the others through theirs.
-            for (int admin : admins) {
-                faults(system, admin, "hold=true");
-            }
-            system.await("a suspect", () -> system.status(0).contains("\"suspect\""));
+            RunningProcess load = startLoad(system, 20);
+            partAllDaemons(system);
             system.platformFaults("down=true");
-            for (int admin : admins) {
-                faults(system, admin, "");
-            }
-            system.await("healing", () -> !system.status(0).contains("\"suspect\""));
+            heal(system);
             system.platformFaults("down=false");
-            int code = load.exitCode(60);
-            assertEquals(0, code, load.output());
-            assertTrue(load.output().contains("lost=0 doubled=0 cut=0"), load.output());
+            assertNothingLostDoubledOrCut(load);
         }
     }
 
     /** The contract ends and passes on while calls run and the platform is slow and loses answers. */
     @Test
     void contractPassesToTheNextOperatorUnderLoadWhileThePlatformFails() throws Exception {
-        try (TestSystem system = new TestSystem(folder)) {
-            system.startTargets(4);
-            system.await(
-                    "platform",
-                    () -> system.get(system.platformAddress, "/v1/vms").status() == 200);
-            for (int i = 0; i < 3; i++) {
-                system.startDaemon();
-            }
-            Path nextKey = folder.resolve("next.key");
-            String nextPublic = system.operator(0, "keys", nextKey.toString()).strip();
-            Instant end = Instant.now().plusSeconds(TERM_SECONDS);
-            String present = system.questionnaire("")
-                    .replace(
-                            "endsAt: 2100-01-01T00:00:00Z",
-                            "endsAt: " + end + ", next: {operator: successor, publicKey: \"" + nextPublic + "\"}");
-            String successor = system.questionnaire("")
-                    .replaceFirst(
-                            "operator: plazhna, publicKey: \"[^\"]*\"",
-                            "operator: successor, publicKey: \"" + nextPublic + "\"");
-            assertEquals(0, accept(system, "present.yaml", present, system.keyFile(), 0, "first"));
-            system.awaitReady();
-            system.awaitClaims();
-            RunningProcess load = system.startLoad(
-                    30, List.of("tillhand,GET,/tallies,50,burgas", "tillhand,POST,/charges,20,burgas"));
+        try (TestSystem system = startDirectly()) {
+            Contracts contracts = acceptFirstContract(system);
+            RunningProcess load = startLoad(system, 30);
             system.platformFaults("delay_ms=100&lose_answers=30");
-            system.await("the end of the term", () -> Instant.now().isAfter(end));
-            assertEquals(REFUSED, accept(system, "present.yaml", present, system.keyFile(), 1, "late"));
-            assertEquals(0, accept(system, "successor.yaml", successor, nextKey, 1, "handover"));
-            assertEquals(REFUSED, accept(system, "present.yaml", present, system.keyFile(), 2, "too-late"));
-            for (int i = 0; i < 3; i++) {
-                int daemon = i;
-                system.await("version 2", () -> system.status(daemon).contains("\"configVersion\":2,"));
-            }
-            int code = load.exitCode(60);
-            assertEquals(0, code, load.output());
-            assertTrue(load.output().contains("lost=0 doubled=0 cut=0"), load.output());
+            handOver(system, contracts);
+            assertNothingLostDoubledOrCut(load);
+        }
+    }
+
+    /** The same while no daemon reaches another, and the healing afterwards. */
+    @Test
+    void contractPassesToTheNextOperatorWhileDaemonsArePartedAndThePlatformFails() throws Exception {
+        try (TestSystem system = startBehindProxies()) {
+            Contracts contracts = acceptFirstContract(system);
+            RunningProcess load = startLoad(system, 30);
+            partAllDaemons(system);
+            system.platformFaults("delay_ms=100&lose_answers=30");
+            handOver(system, contracts);
+            heal(system);
+            assertNothingLostDoubledOrCut(load);
+        }
+    }
+
+    /** The questionnaires of the present operator and of the next one. */
+    private record Contracts(String present, String successor, Path nextKey, Instant end) {}
+
+    private Contracts acceptFirstContract(TestSystem system) throws Exception {
+        Path nextKey = folder.resolve("next.key");
+        String nextPublic = system.operator(0, "keys", nextKey.toString()).strip();
+        Instant end = Instant.now().plusSeconds(TERM_SECONDS);
+        String present = system.questionnaire("")
+                .replace(
+                        "endsAt: 2100-01-01T00:00:00Z",
+                        "endsAt: " + end + ", next: {operator: successor, publicKey: \"" + nextPublic + "\"}");
+        String successor = system.questionnaire("")
+                .replaceFirst(
+                        "operator: plazhna, publicKey: \"[^\"]*\"",
+                        "operator: successor, publicKey: \"" + nextPublic + "\"");
+        assertEquals(0, accept(system, "present.yaml", present, system.keyFile(), 0, "first"));
+        return new Contracts(present, successor, nextKey, end);
+    }
+
+    /** After the end of the term the next operator's accept counts, and the former one's never, late or not. */
+    private void handOver(TestSystem system, Contracts contracts) throws Exception {
+        system.await("the end of the term", () -> Instant.now().isAfter(contracts.end()));
+        assertEquals(REFUSED, accept(system, "present.yaml", contracts.present(), system.keyFile(), 1, "late"));
+        assertEquals(0, accept(system, "successor.yaml", contracts.successor(), contracts.nextKey(), 1, "handover"));
+        assertEquals(REFUSED, accept(system, "present.yaml", contracts.present(), system.keyFile(), 2, "too-late"));
+        for (int i = 0; i < DAEMONS; i++) {
+            int daemon = i;
+            system.await("version 2", () -> system.status(daemon).contains("\"configVersion\":2,"));
         }
     }
 
--- a/anvilpick-load/src/main/java/io/anvilpick/load/BenchMain.java
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/BenchMain.java
@@ -1,9 +1,7 @@
 package io.anvilpick.load;
 
-import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
-import com.github.rvesse.airline.parser.errors.ParseException;
 import com.google.common.collect.ImmutableList;
 import io.anvilpick.settings.ExitCode;
 import io.anvilpick.settings.SettingsReader;
@@ -14,7 +12,7 @@
 
 /** Compares fleets that {@code bin/bench} has started. */
 @Command(name = "bench", description = "Compares policies on running daemons and stand-in targets")
-public final class BenchMain {
+public final class BenchMain implements Program {
     private static final int DEFAULT_SLOTS = 4;
     private static final double DEFAULT_MEAN_MILLIS = 20;
     private static final int DEFAULT_SECONDS = 3;
@@ -50,18 +48,11 @@
 
     /** Runs the program. */
     public static void main(String[] args) throws InterruptedException {
-        try {
-            System.exit(SingleCommand.singleCommand(BenchMain.class)
-                    .parse(args)
-                    .run()
-                    .code());
-        } catch (ParseException e) {
-            System.err.println("bench: " + e.getMessage());
-            System.exit(ExitCode.USAGE.code());
-        }
+        Program.runAndExit(BenchMain.class, "bench", args);
     }
 
-    private ExitCode run() throws InterruptedException {
+    @Override
+    public ExitCode run() throws InterruptedException {
         SettingsReader reader = new SettingsReader(System.getenv());
         List<String> faults = new ArrayList<>();
         BenchSettings settings = read(reader, faults);
--- a/anvilpick-load/src/main/java/io/anvilpick/load/LatencyMain.java
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/LatencyMain.java
@@ -1,9 +1,7 @@
 package io.anvilpick.load;
 
-import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
-import com.github.rvesse.airline.parser.errors.ParseException;
 import com.google.common.collect.ImmutableList;
 import io.anvilpick.settings.ExitCode;
 import io.anvilpick.settings.SettingsReader;
@@ -12,7 +10,7 @@
 
 /** Compares the latency of calls through a daemon with that of calls straight to a target, taking turns in one run. */
 @Command(name = "latency", description = "Measures the latency that a daemon adds to a call")
-public final class LatencyMain {
+public final class LatencyMain implements Program {
     private static final int ROUNDS = 5;
     private static final int SECONDS = 4;
     private static final int WARMUP_SECONDS = 1;
@@ -36,18 +34,11 @@
 
     /** Runs the program. */
     public static void main(String[] args) throws InterruptedException {
-        try {
-            System.exit(SingleCommand.singleCommand(LatencyMain.class)
-                    .parse(args)
-                    .run()
-                    .code());
-        } catch (ParseException e) {
-            System.err.println("latency: " + e.getMessage());
-            System.exit(ExitCode.USAGE.code());
-        }
+        Program.runAndExit(LatencyMain.class, "latency", args);
     }
 
-    private ExitCode run() throws InterruptedException {
+    @Override
+    public ExitCode run() throws InterruptedException {
         SettingsReader reader = new SettingsReader(System.getenv());
         String through = reader.address("--daemon", daemon);
         String straight = reader.address("--target", target);
--- a/anvilpick-load/src/main/java/io/anvilpick/load/LoadMain.java
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/LoadMain.java
@@ -1,11 +1,9 @@
 package io.anvilpick.load;
 
 import com.github.rvesse.airline.HelpOption;
-import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
-import com.github.rvesse.airline.parser.errors.ParseException;
 import com.google.common.collect.ImmutableList;
 import io.anvilpick.settings.ExitCode;
 import io.anvilpick.settings.SettingsReader;
@@ -18,7 +16,7 @@
         name = "anvilpick-load",
         description = "Starts calls at a steady rate, as callers do, and prints latencies and counts."
                 + " Exits with 1 where a call was lost, doubled or cut.")
-public final class LoadMain {
+public final class LoadMain implements Program {
     private static final int DEFAULT_SECONDS = 10;
     private static final int MOST_SECONDS = 3_600;
 
@@ -57,18 +55,11 @@
 
     /** Runs the program. */
     public static void main(String[] args) throws InterruptedException {
-        try {
-            System.exit(SingleCommand.singleCommand(LoadMain.class)
-                    .parse(args)
-                    .run()
-                    .code());
-        } catch (ParseException e) {
-            System.err.println("anvilpick-load: " + e.getMessage());
-            System.exit(ExitCode.USAGE.code());
-        }
+        Program.runAndExit(LoadMain.class, "anvilpick-load", args);
     }
 
-    private ExitCode run() throws InterruptedException {
+    @Override
+    public ExitCode run() throws InterruptedException {
         if (help.showHelpIfRequested()) {
             return ExitCode.OK;
         }
--- a/anvilpick-load/src/main/java/io/anvilpick/load/capacity/CapacityMain.java
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/capacity/CapacityMain.java
@@ -1,11 +1,10 @@
 package io.anvilpick.load.capacity;
 
-import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
-import com.github.rvesse.airline.parser.errors.ParseException;
 import com.google.common.collect.ImmutableList;
 import io.anvilpick.config.ConfigurationException;
+import io.anvilpick.load.Program;
 import io.anvilpick.platform.PlatformException;
 import io.anvilpick.settings.ExitCode;
 import io.anvilpick.settings.SettingsReader;
@@ -18,7 +17,7 @@
 
 /** Measures slopes into a file and writes the figures that follow from them into the capacity page. */
 @Command(name = "capacity", description = "Measures slopes, and works out the figures of the capacity page")
-public final class CapacityMain {
+public final class CapacityMain implements Program {
     @Option(name = "--slopes", description = "File of slopes")
     private @Nullable String slopes;
 
@@ -42,21 +41,11 @@
 
     /** Runs the program. */
     public static void main(String[] args) throws InterruptedException {
-        try {
-            System.exit(SingleCommand.singleCommand(CapacityMain.class)
-                    .parse(args)
-                    .run()
-                    .code());
-        } catch (ParseException e) {
-            System.err.println("capacity: " + e.getMessage());
-            System.exit(ExitCode.USAGE.code());
-        } catch (PlatformException | ConfigurationException | IOException e) {
-            System.err.println("capacity: " + e.getMessage());
-            System.exit(ExitCode.UNAVAILABLE.code());
-        }
+        Program.runAndExit(CapacityMain.class, "capacity", args);
     }
 
-    private ExitCode run() throws PlatformException, ConfigurationException, IOException, InterruptedException {
+    @Override
+    public ExitCode run() throws PlatformException, ConfigurationException, IOException, InterruptedException {
         SettingsReader reader = new SettingsReader(System.getenv());
         Path file = Path.of(reader.text("--slopes", slopes));
         List<Slope> measured = new ArrayList<>();
--- a/anvilpick-load/src/main/java/io/anvilpick/load/capacity/SpreadModel.java
+++ b/anvilpick-load/src/main/java/io/anvilpick/load/capacity/SpreadModel.java
@@ -16,6 +16,7 @@
 import io.anvilpick.membership.Liveness;
 import io.anvilpick.membership.Member;
 import io.anvilpick.membership.MemberTable;
+import io.anvilpick.messages.PeerException;
 import io.anvilpick.messages.PeerReply;
 import io.anvilpick.messages.PeerRequest;
 import io.anvilpick.messages.Peers;
@@ -29,6 +30,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -52,10 +54,12 @@
     private final List<Node> nodes = new ArrayList<>();
     private final Map<String, Node> byAddress = new HashMap<>();
     private final Deque<Runnable> atOnce = new ArrayDeque<>();
+    private final Set<String> paused = new HashSet<>();
     private long messages;
     private long bytes;
 
-    private record Node(Member member, MemberTable members, InForce inForce, PeerService service, Gossip gossip) {}
+    /** A daemon of the model. */
+    record Node(Member member, MemberTable members, InForce inForce, PeerService service, Gossip gossip) {}
 
     /**
      * How a version spread.
@@ -89,8 +93,38 @@
         return model.spread(second, idleBytesPerSecond, model.falseSuspects());
     }
 
+    /** Returns a region of {@code daemons} that all know each other and one version. */
+    static SpreadModel settled(int daemons, long seed) throws ConfigurationException {
+        SpreadModel model = new SpreadModel(seed);
+        model.addNodes(daemons, SampleState.snapshot(1, 1));
+        return model;
+    }
+
+    /** Returns the daemons. */
+    List<Node> nodes() {
+        return nodes;
+    }
+
+    /** Returns the virtual time in nanoseconds. */
+    long nanos() {
+        return time.nanos();
+    }
+
+    /** Stops {@code node}: it neither asks nor answers. */
+    void pause(Node node) {
+        paused.add(node.member().peerAddress());
+    }
+
+    /** Lets {@code node} go on where it stopped. */
+    void resume(Node node) {
+        paused.remove(node.member().peerAddress());
+    }
+
     @Override
     public CompletableFuture<PeerReply> ask(String peerAddress, PeerRequest request, Deadline deadline) {
+        if (paused.contains(peerAddress)) {
+            return CompletableFuture.failedFuture(new PeerException("no answer in time", false));
+        }
         PeerReply reply = byAddress.get(peerAddress).service().handle(request);
         messages += 2;
         bytes += MessageSize.of(request) + MessageSize.of(reply);
@@ -173,9 +207,12 @@
         return suspects / nodes.size() / nodes.size();
     }
 
-    private void round() {
+    /** Lets every daemon that is not paused do its round of gossip. */
+    void round() {
         for (Node node : nodes) {
-            node.gossip().round();
+            if (!paused.contains(node.member().peerAddress())) {
+                node.gossip().round();
+            }
         }
         settle();
         time.advance(ROUND);
