--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
@@ -37,8 +37,9 @@
     private final Shards<Map<String, Row>> rows = Shards.create(SHARDS, HashMap::new);
     private final TimeSource time;
     private final Supplier<RandomGenerator> random;
-    private final SharedBudget budget;
     private final String zone;
+    private volatile SharedBudget budget;
+    private volatile int daemons = 1;
 
     private record Row(
             Dispatcher dispatcher,
@@ -60,12 +61,12 @@
             return;
         }
         RouteConfiguration configuration = view.configuration().get();
-        int daemons = Math.max(1, view.members().size());
+        daemons = Math.max(1, view.members().size());
         configuration.services().forEach((name, traits) -> {
             ImmutableList<RegisteredTarget> targets = view.targets().getOrDefault(name, ImmutableList.of());
             rows.withShardOf(name, shard -> {
                 Row row = shard.getOrDefault(name, newRow(name));
-                row.budget().allow(budget.allowance() / (daemons + UNKNOWN_DAEMONS));
+                allow(row.budget());
                 ServiceConfig service = serviceOf(name, traits.connectionsPerTarget(), targets);
                 if (row.targets() != targets || !row.service().equals(service)) {
                     row.dispatcher().configure(service, traitsOf(targets));
@@ -76,6 +77,17 @@
         });
     }
 
+    /** Changes what all daemons together may spend; what was spent stays counted, and the window stays as it is. */
+    public void spend(SharedBudget next) {
+        budget = next;
+        rows.forEach(shard -> shard.values().forEach(row -> allow(row.budget())));
+    }
+
+    private void allow(WindowBudget own) {
+        SharedBudget all = budget;
+        own.allow(all.ratio() * USED_PART, all.allowance() / (daemons + UNKNOWN_DAEMONS));
+    }
+
     /** Returns the dispatcher of a configured service. */
     public Optional<Dispatcher> find(String service) {
         return rows.withShardOf(
@@ -90,7 +102,7 @@
     }
 
     private Row newRow(String name) {
-        WindowBudget own = WindowBudget.of(time, budget.ratio() * USED_PART, 0, budget.window());
+        WindowBudget own = WindowBudget.of(time, 0, 0, budget.window());
         Dispatcher dispatcher = Dispatcher.builder()
                 .time(time)
                 .random(random.get())
--- a/anvilpick-core/src/main/java/io/anvilpick/limits/WindowBudget.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/limits/WindowBudget.java
@@ -19,7 +19,7 @@
 
     private final ReentrantLock lock = new ReentrantLock();
     private final TimeSource time;
-    private final double ratio;
+    private double ratio;
     private double allowance;
     private final long bucketNanos;
     private final int[] ordinary = new int[BUCKETS];
@@ -47,11 +47,12 @@
         return new WindowBudget(time, ratio, allowance, window);
     }
 
-    /** Sets the calls allowed on top of the share. */
-    public void allow(double calls) {
+    /** Sets the share of the ordinary calls and the calls allowed on top; what was counted stays. */
+    public void allow(double newRatio, double newAllowance) {
         lock.lock();
         try {
-            allowance = calls;
+            ratio = newRatio;
+            allowance = newAllowance;
         } finally {
             lock.unlock();
         }
--- a/anvilpick-core/src/test/java/io/anvilpick/limits/WindowBudgetTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/limits/WindowBudgetTest.java
@@ -58,7 +58,7 @@
     void aSmallerAllowanceHoldsAtOnce() {
         WindowBudget budget = WindowBudget.of(time, 0, 4, WINDOW);
         assertTrue(budget.tryTake());
-        budget.allow(1);
+        budget.allow(0, 1);
         assertFalse(budget.tryTake());
     }
 
@@ -93,4 +93,15 @@
         assertThrows(IllegalArgumentException.class, () -> WindowBudget.of(time, 0, -1, WINDOW));
         assertThrows(IllegalArgumentException.class, () -> WindowBudget.of(time, 0, 0, Duration.ZERO));
     }
+
+    @Test
+    void aNewShareCountsWhatWasSpentBefore() {
+        WindowBudget budget = WindowBudget.of(time, 0.2, 0, WINDOW);
+        for (int i = 0; i < 50; i++) {
+            budget.earn();
+        }
+        assertEquals(10, takeAll(budget));
+        budget.allow(0.3, 2);
+        assertEquals(7, takeAll(budget));
+    }
 }
--- a/anvilpick-core/src/test/java/io/anvilpick/routing/EarliestAnswerTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/routing/EarliestAnswerTest.java
@@ -313,7 +313,7 @@
     @Test
     void aCallThatReachedNoTargetIsTakenAgainWithoutABudget() {
         targets(2, 0, 4);
-        extra.allow(0);
+        extra.allow(0, 0);
         Assignment assignment = send();
         dispatcher.finish(assignment, new CallResult.ConnectFailed());
         Set<String> failed = Set.of(assignment.target().id());
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -65,7 +65,7 @@
     private static final int MOST_HEADER_BYTES = 64 * 1024;
     private static final int PART_OF_HEAP_FOR_BODIES = 4;
 
-    private final EntrySettings settings;
+    private final SettingsInForce settings;
     private final TimeSource time = TimeSource.system();
     private final Shutdown shutdown = new Shutdown();
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
@@ -78,18 +78,16 @@
     private final Server server;
 
     private EntryDaemon(Builder builder) {
-        this.settings = checkNotNull(builder.settings, "settings");
+        EntrySettings first = checkNotNull(builder.settings, "settings");
+        this.settings = new SettingsInForce(first);
         FleetStore store = checkNotNull(builder.store, "store");
         TargetHeaders headers = checkNotNull(builder.headers, "headers");
         this.dispatchers = new EntryDispatchers(
-                time,
-                SplittableRandom::new,
-                settings.extraCalls(),
-                settings.self().zone());
+                time, SplittableRandom::new, first.extraCalls(), first.self().zone());
         this.state = new FleetState(time, dispatchers::update);
         this.follower = new FleetFollower(store, state);
-        this.keeper = new MembershipKeeper(store, state, settings.self());
-        this.addresses = new AddressBook(state::view, settings.self());
+        this.keeper = new MembershipKeeper(store, state, first.self());
+        this.addresses = new AddressBook(state::view, first.self());
         this.server = newServer(builder, callsThrough(headers), headers);
         registerGauges();
     }
@@ -112,9 +110,10 @@
     private Server newServer(Builder builder, EntryCalls calls, TargetHeaders headers) {
         HeldBytes bodies = HeldBytes.atMost(Runtime.getRuntime().maxMemory() / PART_OF_HEAP_FOR_BODIES);
         EntryService service = new EntryService(calls, headers, threads, time, shutdown, bodies);
+        EntrySettings first = settings.current();
         ServerBuilder server = Server.builder()
-                .port(settings.callAddress(), SessionProtocol.HTTP)
-                .port(settings.metricsAddress(), SessionProtocol.HTTP)
+                .port(first.callAddress(), SessionProtocol.HTTP)
+                .port(first.metricsAddress(), SessionProtocol.HTTP)
                 .requestTimeoutMillis(0)
                 .maxRequestLength(MOST_BODY_BYTES)
                 .http1MaxHeaderSize(MOST_HEADER_BYTES)
@@ -123,13 +122,13 @@
                 .gracefulShutdownTimeoutMillis(0, 0)
                 .serviceUnder("/", service);
         for (Page page : builder.pages) {
-            if (page.address().getPort() != settings.metricsAddress().getPort()) {
+            if (page.address().getPort() != first.metricsAddress().getPort()) {
                 server.port(page.address(), SessionProtocol.HTTP);
             }
             server.virtualHost(page.address().getPort())
                     .service(page.path(), page.answer().of(this));
         }
-        server.virtualHost(settings.metricsAddress().getPort()).service("/metrics", (context, request) -> {
+        server.virtualHost(first.metricsAddress().getPort()).service("/metrics", (context, request) -> {
             return HttpResponse.of(HttpStatus.OK, SCRAPER_TEXT, metrics.scrape());
         });
         return server.build();
@@ -147,9 +146,10 @@
     public void start() {
         repeat("follower", follower::step);
         server.start().join();
+        EntrySettings first = settings.current();
         LOG.infof(
                 "event=started name=%s zone=%s calls=%s metrics=%s",
-                settings.self().name(), settings.self().zone(), settings.callAddress(), settings.metricsAddress());
+                first.self().name(), first.self().zone(), first.callAddress(), first.metricsAddress());
         repeat("membership", keeper::step);
         repeat("expiry", () -> {
             state.expire();
@@ -172,6 +172,16 @@
         });
     }
 
+    /** Goes by {@code next} from now on, as far as a running daemon can; calls in flight are not touched. */
+    public void reload(EntrySettings next) {
+        dispatchers.spend(settings.change(next).extraCalls());
+    }
+
+    /** Returns the settings in force. */
+    public EntrySettings settings() {
+        return settings.current();
+    }
+
     /** Returns whether callers should be sent here. */
     public boolean isReady() {
         return !shutdown.isLeaving() && state.view().configuration().isPresent();
@@ -193,12 +203,12 @@
         LOG.infof("event=leaving in_flight=%d", shutdown.inFlight());
         shutdown.leave();
         Thread.ofVirtual().name("leave").start(keeper::leave);
-        Duration serving = Duration.ofMillis((long) (settings.grace().toMillis() * SERVING_PART_OF_GRACE));
+        Duration grace = settings.current().grace();
+        Duration serving = Duration.ofMillis((long) (grace.toMillis() * SERVING_PART_OF_GRACE));
         Thread.sleep(serving);
         shutdown.refuse();
         Duration used = Duration.ofNanos(time.nanos() - startNanos);
-        boolean idle =
-                shutdown.awaitIdle(settings.grace().minus(END_BEFORE_GRACE).minus(used));
+        boolean idle = shutdown.awaitIdle(grace.minus(END_BEFORE_GRACE).minus(used));
         LOG.infof("event=stopped idle=%b in_flight=%d", idle, shutdown.inFlight());
         threads.shutdown();
         try {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
@@ -1,28 +1,124 @@
 package io.anvilpick.daemon.entry;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableSet;
 import io.anvilpick.entry.SharedBudget;
 import io.anvilpick.fleet.EntryMember;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Settings of an entry daemon.
  *
- * @param self how the daemon tells others of itself
- * @param callAddress where callers connect
- * @param metricsAddress where scrapers connect
- * @param extraCalls what all daemons together may spend on repeated calls
+ * @param self how the daemon tells others of itself; fixed from the start on
+ * @param callAddress where callers connect; fixed from the start on
+ * @param metricsAddress where scrapers connect; fixed from the start on
+ * @param extraCalls what all daemons together may spend on repeated calls; its window is fixed from the start on
  * @param grace time from the order to stop until the process is killed
+ * @param addressesGoodFor time for which callers may keep an answer of the directory
  */
 public record EntrySettings(
         EntryMember self,
         InetSocketAddress callAddress,
         InetSocketAddress metricsAddress,
         SharedBudget extraCalls,
-        Duration grace) {
+        Duration grace,
+        Duration addressesGoodFor) {
     public EntrySettings {
         checkArgument(grace.isPositive(), "grace must be positive: %s", grace);
+        checkArgument(addressesGoodFor.isPositive(), "addressesGoodFor must be positive: %s", addressesGoodFor);
+    }
+
+    /** Returns a builder for the daemon that tells of itself as {@code self}. */
+    public static Builder builder(EntryMember self) {
+        return new Builder(self);
+    }
+
+    /** Returns these settings with what a running daemon can take over from {@code next}. */
+    public EntrySettings reloaded(EntrySettings next) {
+        SharedBudget budget =
+                new SharedBudget(next.extraCalls.ratio(), next.extraCalls.allowance(), extraCalls.window());
+        return new EntrySettings(self, callAddress, metricsAddress, budget, next.grace, next.addressesGoodFor);
+    }
+
+    /** Returns the names of the settings that differ in {@code other}. */
+    public ImmutableSet<String> differences(EntrySettings other) {
+        ImmutableSet.Builder<String> names = ImmutableSet.builder();
+        addIfDifferent(names, "self", self, other.self);
+        addIfDifferent(names, "callAddress", callAddress, other.callAddress);
+        addIfDifferent(names, "metricsAddress", metricsAddress, other.metricsAddress);
+        addIfDifferent(names, "extraCalls", extraCalls, other.extraCalls);
+        addIfDifferent(names, "grace", grace, other.grace);
+        addIfDifferent(names, "addressesGoodFor", addressesGoodFor, other.addressesGoodFor);
+        return names.build();
+    }
+
+    private static void addIfDifferent(ImmutableSet.Builder<String> names, String name, Object one, Object other) {
+        if (!one.equals(other)) {
+            names.add(name);
+        }
+    }
+
+    /** Builds {@link EntrySettings}. Not thread safe. */
+    public static final class Builder {
+        private final EntryMember self;
+        private @Nullable InetSocketAddress callAddress;
+        private @Nullable InetSocketAddress metricsAddress;
+        private @Nullable SharedBudget extraCalls;
+        private @Nullable Duration grace;
+        private @Nullable Duration addressesGoodFor;
+
+        private Builder(EntryMember self) {
+            this.self = self;
+        }
+
+        /** Sets where callers connect. */
+        public Builder callAddress(InetSocketAddress value) {
+            callAddress = value;
+            return this;
+        }
+
+        /** Sets where scrapers connect. */
+        public Builder metricsAddress(InetSocketAddress value) {
+            metricsAddress = value;
+            return this;
+        }
+
+        /** Sets what all daemons together may spend on repeated calls. */
+        public Builder extraCalls(SharedBudget value) {
+            extraCalls = value;
+            return this;
+        }
+
+        /** Sets the time from the order to stop until the process is killed. */
+        public Builder grace(Duration value) {
+            grace = value;
+            return this;
+        }
+
+        /** Sets the time for which callers may keep an answer of the directory. */
+        public Builder addressesGoodFor(Duration value) {
+            addressesGoodFor = value;
+            return this;
+        }
+
+        /**
+         * Returns the settings.
+         *
+         * @throws NullPointerException if one was not set
+         * @throws IllegalArgumentException if a length of time is not positive
+         */
+        public EntrySettings build() {
+            return new EntrySettings(
+                    self,
+                    checkNotNull(callAddress, "callAddress"),
+                    checkNotNull(metricsAddress, "metricsAddress"),
+                    checkNotNull(extraCalls, "extraCalls"),
+                    checkNotNull(grace, "grace"),
+                    checkNotNull(addressesGoodFor, "addressesGoodFor"));
+        }
     }
 }
