--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/EntryMember.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/EntryMember.java
@@ -5,7 +5,8 @@
  *
  * @param name name of its machine
  * @param callAddress where callers connect, host and port
+ * @param peerAddress where other daemons connect, host and port
  * @param region region of its machine
  * @param zone availability zone of its machine
  */
-public record EntryMember(String name, String callAddress, String region, String zone) {}
+public record EntryMember(String name, String callAddress, String peerAddress, String region, String zone) {}
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetUpdate.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetUpdate.java
@@ -9,10 +9,10 @@
      *
      * @param revision the store's revision, from which to follow
      */
-    record Whole(ImmutableList<FleetChange> entries, long revision) implements FleetUpdate {}
+    record Whole(ImmutableList<StoredItem> items, long revision) implements FleetUpdate {}
 
     /** What has changed since the revision asked for; nothing if the wait was over first. */
-    record Changes(ImmutableList<FleetChange> changes, long revision) implements FleetUpdate {}
+    record Changes(ImmutableList<StoredItem> items, long revision) implements FleetUpdate {}
 
     /** The store no longer knows what has changed since then. */
     record HistoryLost() implements FleetUpdate {}
--- a/anvilpick-core/src/main/java/io/anvilpick/messages/PeerReply.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/messages/PeerReply.java
@@ -5,6 +5,7 @@
 import io.anvilpick.claims.SealedGroup;
 import io.anvilpick.claims.Vote;
 import io.anvilpick.config.SignedHead;
+import io.anvilpick.fleet.RelayedUpdate;
 import io.anvilpick.membership.LeavingList;
 import io.anvilpick.membership.MemberDigest;
 import java.util.Optional;
@@ -45,6 +46,9 @@
     /** Parts of the configuration by digest, as far as they were found. */
     record Parts(ImmutableMap<String, String> texts) implements PeerReply {}
 
+    /** What the answering daemon has read of the store beyond what the asking one knows. */
+    record Followed(RelayedUpdate relayed) implements PeerReply {}
+
     /** The request could not be read or served. */
     record Rejected(String reason) implements PeerReply {}
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/messages/PeerRequest.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/messages/PeerRequest.java
@@ -10,4 +10,5 @@
                 GossipRequest,
                 PartsRequest,
                 CrashRequest,
+                FollowRequest,
                 AcquitRequest {}
--- /dev/null
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FakePeers.java
@@ -0,0 +1,32 @@
+package io.anvilpick.fleet;
+
+import io.anvilpick.messages.FollowRequest;
+import io.anvilpick.messages.PeerException;
+import io.anvilpick.messages.PeerReply;
+import io.anvilpick.messages.PeerRequest;
+import io.anvilpick.messages.Peers;
+import io.anvilpick.time.Deadline;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Other daemons, each with what it has read of the store; one without a log does not answer. */
+final class FakePeers implements Peers {
+    final Map<String, RelayLog> logs = new HashMap<>();
+    final List<String> asked = new ArrayList<>();
+
+    @Override
+    public CompletableFuture<PeerReply> ask(String peerAddress, PeerRequest request, Deadline deadline) {
+        FollowRequest follow = (FollowRequest) request;
+        asked.add(peerAddress + " " + follow.after());
+        RelayLog log = logs.get(peerAddress);
+        if (log == null) {
+            return CompletableFuture.failedFuture(new PeerException("silent", false));
+        }
+        return CompletableFuture.completedFuture(log.after(follow.after())
+                .<PeerReply>map(PeerReply.Followed::new)
+                .orElseGet(() -> new PeerReply.Rejected("nothing read")));
+    }
+}
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FakeStore.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FakeStore.java
@@ -6,17 +6,35 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
 /** A store whose answers a test sets. */
-final class FakeStore implements FleetStore {
+final class FakeStore implements FleetStore, FleetDecoder {
     final Deque<FleetUpdate> updates = new ArrayDeque<>();
     final List<String> calls = new ArrayList<>();
     final List<Duration> waits = new ArrayList<>();
+    private final Map<StoredItem, FleetChange> meanings = new HashMap<>();
+    ImmutableList<StoredItem> held = ImmutableList.of();
     boolean away;
     boolean leaseLives = true;
     private long nextLease = 1;
 
+    /** Returns an item that says {@code change}. */
+    StoredItem item(String key, long revision, FleetChange change) {
+        StoredItem item = new StoredItem(key, revision, Optional.of(change.toString()));
+        meanings.put(item, change);
+        return item;
+    }
+
+    @Override
+    public ImmutableList<FleetChange> changesOf(StoredItem item) {
+        FleetChange change = meanings.get(item);
+        return change == null ? ImmutableList.of() : ImmutableList.of(change);
+    }
+
     private void call(String name) throws PlatformException {
         calls.add(name);
         if (away) {
@@ -27,7 +45,7 @@
     @Override
     public FleetUpdate.Whole readAll() throws PlatformException {
         call("readAll");
-        return new FleetUpdate.Whole(ImmutableList.of(), 10);
+        return new FleetUpdate.Whole(held, 10);
     }
 
     @Override
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetSamples.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetSamples.java
@@ -49,6 +49,6 @@
 
     /** Returns a daemon in {@code zone} of region "r". */
     public static EntryMember member(String name, String zone) {
-        return new EntryMember(name, name + ":80", "r", zone);
+        return new EntryMember(name, name + ":80", name + ":81", "r", zone);
     }
 }
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FollowingTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FollowingTest.java
@@ -17,7 +17,10 @@
     private final ManualTimeSource time = ManualTimeSource.startingAt(0);
     private final FakeStore store = new FakeStore();
     private final FleetState state = new FleetState(time, view -> {});
-    private final FleetFollower follower = new FleetFollower(store, state);
+    private final FakePeers peers = new FakePeers();
+    private final FleetRelays relays = new FleetRelays(peers, state::view, SELF, time);
+    private final FleetFollower follower =
+            FleetFollower.of(new FleetFollower.Parts(store, store, state, new RelayLog(time), relays, time));
     private final MembershipKeeper keeper = new MembershipKeeper(store, state, SELF);
 
     private void tellOfSelf() {
@@ -25,10 +28,10 @@
     }
 
     @Test
-    void readsOnceAndThenFollowsFromTheRevision() {
+    void readsOnceAndThenFollowsFromTheRevision() throws Exception {
         follower.step();
-        store.updates.add(
-                new FleetUpdate.Changes(ImmutableList.of(new FleetChange.TargetSeen(target("a", "s", false))), 12));
+        store.updates.add(new FleetUpdate.Changes(
+                ImmutableList.of(store.item("a", 12, new FleetChange.TargetSeen(target("a", "s", false)))), 12));
         follower.step();
         follower.step();
         assertEquals(List.of("readAll", "await 10", "await 12"), store.calls);
@@ -36,7 +39,7 @@
     }
 
     @Test
-    void readsAnewWhenTheHistoryIsLost() {
+    void readsAnewWhenTheHistoryIsLost() throws Exception {
         follower.step();
         store.updates.add(new FleetUpdate.HistoryLost());
         follower.step();
@@ -45,7 +48,7 @@
     }
 
     @Test
-    void pausesLongerAfterEachFailureUpToABound() {
+    void pausesLongerAfterEachFailureUpToABound() throws Exception {
         store.away = true;
         Duration first = follower.step();
         Duration second = follower.step();
@@ -58,7 +61,7 @@
     }
 
     @Test
-    void goesOnFromTheRevisionAfterAFailure() {
+    void goesOnFromTheRevisionAfterAFailure() throws Exception {
         follower.step();
         store.away = true;
         follower.step();
@@ -68,7 +71,7 @@
     }
 
     @Test
-    void asksForAShortAnswerAfterAFailureAndWaitsLongAfterThat() {
+    void asksForAShortAnswerAfterAFailureAndWaitsLongAfterThat() throws Exception {
         follower.step();
         store.away = true;
         follower.step();
@@ -80,7 +83,7 @@
     }
 
     @Test
-    void aFailedRenewalEndsAWaitWhoseConnectionMayBeDead() {
+    void aFailedRenewalEndsAWaitWhoseConnectionMayBeDead() throws Exception {
         keeper.step();
         store.away = true;
         keeper.step();
@@ -88,7 +91,7 @@
     }
 
     @Test
-    void registersOnceAndThenRenews() {
+    void registersOnceAndThenRenews() throws Exception {
         keeper.step();
         tellOfSelf();
         keeper.step();
@@ -96,7 +99,7 @@
     }
 
     @Test
-    void registersAnewWhenTheLeaseHasLapsed() {
+    void registersAnewWhenTheLeaseHasLapsed() throws Exception {
         keeper.step();
         tellOfSelf();
         store.leaseLives = false;
@@ -105,7 +108,7 @@
     }
 
     @Test
-    void registersAnewWhenTheRegistrationVanishedWithoutAWord() {
+    void registersAnewWhenTheRegistrationVanishedWithoutAWord() throws Exception {
         keeper.step();
         tellOfSelf();
         state.apply(List.of(new FleetChange.MemberGone(SELF.name())));
@@ -114,7 +117,7 @@
     }
 
     @Test
-    void aDaemonThatLeavesEndsItsLeaseAndRenewsNoMore() {
+    void aDaemonThatLeavesEndsItsLeaseAndRenewsNoMore() throws Exception {
         keeper.step();
         keeper.leave();
         keeper.step();
@@ -122,7 +125,7 @@
     }
 
     @Test
-    void callersAreSentToTheirOwnZoneAndToASecondDaemonWhereItHasOne() {
+    void callersAreSentToTheirOwnZoneAndToASecondDaemonWhereItHasOne() throws Exception {
         state.apply(List.of(
                 new FleetChange.MemberSeen(member("a1", "a")),
                 new FleetChange.MemberSeen(member("a2", "a")),
@@ -136,7 +139,7 @@
     }
 
     @Test
-    void withoutADaemonThereIsNoAddress() {
+    void withoutADaemonThereIsNoAddress() throws Exception {
         assertEquals(List.of(), new AddressBook(state::view, SELF).addressesFor("r", "a", false));
     }
 }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/PeerService.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/PeerService.java
@@ -14,6 +14,7 @@
 import io.anvilpick.messages.ClaimSettleRequest;
 import io.anvilpick.messages.ClaimVoteRequest;
 import io.anvilpick.messages.CrashRequest;
+import io.anvilpick.messages.FollowRequest;
 import io.anvilpick.messages.GossipRequest;
 import io.anvilpick.messages.InstallRequest;
 import io.anvilpick.messages.PartsRequest;
@@ -67,6 +68,8 @@
                 crashes.ifPresent(guard -> guard.hearAcquittal(acquit.fingerprint()));
                 yield new PeerReply.Done();
             }
+            case FollowRequest ignored ->
+                new PeerReply.Rejected("follow: this daemon does not read the store for others");
         };
     }
 
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
 import com.linecorp.armeria.common.CommonPools;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
@@ -21,12 +22,20 @@
 import io.anvilpick.entry.EntryEvents;
 import io.anvilpick.entry.LocalCrashWatch;
 import io.anvilpick.fleet.AddressBook;
+import io.anvilpick.fleet.FleetDecoder;
 import io.anvilpick.fleet.FleetFollower;
+import io.anvilpick.fleet.FleetRelays;
 import io.anvilpick.fleet.FleetState;
 import io.anvilpick.fleet.FleetStore;
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.fleet.MembershipKeeper;
+import io.anvilpick.fleet.RelayLog;
 import io.anvilpick.limits.HeldBytes;
+import io.anvilpick.messages.FollowRequest;
+import io.anvilpick.messages.PeerReply;
+import io.anvilpick.messages.PeerRequest;
+import io.anvilpick.peer.PeerClient;
+import io.anvilpick.peer.PeerServer;
 import io.anvilpick.time.TimeSource;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
@@ -39,7 +48,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
@@ -73,6 +81,8 @@
     private final EntryDispatchers dispatchers;
     private final FleetState state;
     private final FleetFollower follower;
+    private final RelayLog relayLog;
+    private final EventLoopGroup loops = CommonPools.workerGroup();
     private final MembershipKeeper keeper;
     private final AddressBook addresses;
     private final Server server;
@@ -85,7 +95,10 @@
         this.dispatchers = new EntryDispatchers(
                 time, SplittableRandom::new, first.extraCalls(), first.self().zone());
         this.state = new FleetState(time, dispatchers::update);
-        this.follower = new FleetFollower(store, state);
+        this.relayLog = new RelayLog(time);
+        FleetRelays relays = new FleetRelays(new PeerClient(loops, time), state::view, first.self(), time);
+        this.follower = FleetFollower.of(new FleetFollower.Parts(
+                store, checkNotNull(builder.decoder, "decoder"), state, relayLog, relays, time));
         this.keeper = new MembershipKeeper(store, state, first.self());
         this.addresses = new AddressBook(state::view, first.self());
         this.server = newServer(builder, callsThrough(headers), headers);
@@ -98,7 +111,6 @@
     }
 
     private EntryCalls callsThrough(TargetHeaders headers) {
-        EventLoopGroup loops = CommonPools.workerGroup();
         NettyTargetClient targets = new NettyTargetClient(loops, headers, time);
         LocalCrashWatch crashes = new LocalCrashWatch(new CrashLedger(time), targets, time);
         EntryEvents events = new EntryEvents(metrics, time);
@@ -143,9 +155,10 @@
     }
 
     /** Starts to follow the store and to listen; blocks until the daemon listens. */
-    public void start() {
+    public void start() throws InterruptedException {
         repeat("follower", follower::step);
         server.start().join();
+        PeerServer.listen(loops, peerAddress(), this::answerPeer);
         EntrySettings first = settings.current();
         LOG.infof(
                 "event=started name=%s zone=%s calls=%s metrics=%s",
@@ -157,11 +170,31 @@
         });
     }
 
-    private void repeat(String name, Supplier<Duration> step) {
+    private InetSocketAddress peerAddress() {
+        HostAndPort address = HostAndPort.fromString(settings.current().self().peerAddress());
+        return new InetSocketAddress(address.getHost(), address.getPort());
+    }
+
+    private PeerReply answerPeer(PeerRequest request) {
+        if (!(request instanceof FollowRequest follow)) {
+            return new PeerReply.Rejected("request: this daemon answers only those who follow the store");
+        }
+        return relayLog.after(follow.after())
+                .<PeerReply>map(PeerReply.Followed::new)
+                .orElseGet(() -> new PeerReply.Rejected("follow: nothing has been read yet"));
+    }
+
+    /** A step of what the daemon does again and again; returns how long to pause. */
+    @FunctionalInterface
+    private interface Step {
+        Duration run() throws InterruptedException;
+    }
+
+    private void repeat(String name, Step step) {
         Thread.ofVirtual().name(name).start(() -> {
             try {
                 while (true) {
-                    Thread.sleep(step.get());
+                    Thread.sleep(step.run());
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -231,6 +264,7 @@
     public static final class Builder {
         private @Nullable EntrySettings settings;
         private @Nullable FleetStore store;
+        private @Nullable FleetDecoder decoder;
         private @Nullable TargetHeaders headers;
         private final List<Page> pages = new ArrayList<>();
 
@@ -248,6 +282,12 @@
             return this;
         }
 
+        /** Sets what reads the items of the store. */
+        public Builder decoder(FleetDecoder value) {
+            decoder = value;
+            return this;
+        }
+
         /** Sets the names of headers that callers and targets use. */
         public Builder headers(TargetHeaders value) {
             headers = value;
@@ -263,7 +303,7 @@
         /**
          * Returns the daemon, which does not listen yet.
          *
-         * @throws NullPointerException if settings, store or headers were not set
+         * @throws NullPointerException if settings, store, decoder or headers were not set
          */
         public EntryDaemon build() {
             return new EntryDaemon(this);
--- a/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
@@ -16,6 +16,7 @@
 import io.anvilpick.messages.ClaimSettleRequest;
 import io.anvilpick.messages.ClaimVoteRequest;
 import io.anvilpick.messages.CrashRequest;
+import io.anvilpick.messages.FollowRequest;
 import io.anvilpick.messages.GossipRequest;
 import io.anvilpick.messages.InstallRequest;
 import io.anvilpick.messages.PartsRequest;
@@ -79,6 +80,9 @@
                                 .setTarget(crash.report().target())
                                 .setAtMillis(crash.report().atMillis()))
                         .build();
+            case FollowRequest follow ->
+                envelope.setFollow(PeerProto.Follow.newBuilder().setAfter(follow.after()))
+                        .build();
             case AcquitRequest acquit ->
                 envelope.setAcquit(PeerProto.Acquit.newBuilder().setFingerprint(acquit.fingerprint()))
                         .build();
@@ -106,6 +110,8 @@
             case PeerReply.Gossip gossip ->
                 envelope.setGossipReply(encode(gossip)).build();
             case PeerReply.Parts parts -> envelope.setPartsReply(encode(parts)).build();
+            case PeerReply.Followed followed ->
+                envelope.setFollowed(FleetCodec.encode(followed.relayed())).build();
             case PeerReply.Rejected rejected ->
                 envelope.setRejected(PeerProto.Rejected.newBuilder().setReason(rejected.reason()))
                         .build();
@@ -156,7 +162,9 @@
                                 envelope.getCrash().getTarget(),
                                 envelope.getCrash().getAtMillis()));
                     case ACQUIT -> new AcquitRequest(envelope.getAcquit().getFingerprint());
-                    case DONE, VOTED, SEALED, INSTALLED, GOSSIP_REPLY, PARTS_REPLY, REJECTED, BODY_NOT_SET -> null;
+                    case FOLLOW -> new FollowRequest(envelope.getFollow().getAfter());
+                    case DONE, VOTED, SEALED, INSTALLED, GOSSIP_REPLY, PARTS_REPLY, REJECTED, FOLLOWED, BODY_NOT_SET ->
+                        null;
                 };
         return Optional.ofNullable(request);
     }
@@ -177,6 +185,7 @@
                         new PeerReply.Installed(envelope.getInstalled().getKept());
                     case GOSSIP_REPLY -> decode(envelope.getGossipReply());
                     case PARTS_REPLY -> decode(envelope.getPartsReply());
+                    case FOLLOWED -> new PeerReply.Followed(FleetCodec.decode(envelope.getFollowed()));
                     case REJECTED ->
                         new PeerReply.Rejected(envelope.getRejected().getReason());
                     case CLAIM_VOTE,
@@ -188,6 +197,7 @@
                             PARTS,
                             CRASH,
                             ACQUIT,
+                            FOLLOW,
                             BODY_NOT_SET -> null;
                 };
         return Optional.ofNullable(reply);
--- a/anvilpick-peer/src/main/java/io/anvilpick/peer/wire/PeerProto.java
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/wire/PeerProto.java
@@ -175,6 +175,21 @@
      */
     io.anvilpick.peer.wire.PeerProto.AcquitOrBuilder getAcquitOrBuilder();
 
+    /**
+     * <code>.anvilpick.peer.Follow follow = 11;</code>
+     * @return Whether the follow field is set.
+     */
+    boolean hasFollow();
+    /**
+     * <code>.anvilpick.peer.Follow follow = 11;</code>
+     * @return The follow.
+     */
+    io.anvilpick.peer.wire.PeerProto.Follow getFollow();
+    /**
+     * <code>.anvilpick.peer.Follow follow = 11;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.FollowOrBuilder getFollowOrBuilder();
+
     /**
      * <code>.anvilpick.peer.Done done = 20;</code>
      * @return Whether the done field is set.
@@ -280,6 +295,21 @@
      */
     io.anvilpick.peer.wire.PeerProto.RejectedOrBuilder getRejectedOrBuilder();
 
+    /**
+     * <code>.anvilpick.peer.Followed followed = 27;</code>
+     * @return Whether the followed field is set.
+     */
+    boolean hasFollowed();
+    /**
+     * <code>.anvilpick.peer.Followed followed = 27;</code>
+     * @return The followed.
+     */
+    io.anvilpick.peer.wire.PeerProto.Followed getFollowed();
+    /**
+     * <code>.anvilpick.peer.Followed followed = 27;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.FollowedOrBuilder getFollowedOrBuilder();
+
     io.anvilpick.peer.wire.PeerProto.Envelope.BodyCase getBodyCase();
   }
   /**
@@ -334,6 +364,7 @@
       PARTS(8),
       CRASH(9),
       ACQUIT(10),
+      FOLLOW(11),
       DONE(20),
       VOTED(21),
       SEALED(22),
@@ -341,6 +372,7 @@
       GOSSIP_REPLY(24),
       PARTS_REPLY(25),
       REJECTED(26),
+      FOLLOWED(27),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -367,6 +399,7 @@
           case 8: return PARTS;
           case 9: return CRASH;
           case 10: return ACQUIT;
+          case 11: return FOLLOW;
           case 20: return DONE;
           case 21: return VOTED;
           case 22: return SEALED;
@@ -374,6 +407,7 @@
           case 24: return GOSSIP_REPLY;
           case 25: return PARTS_REPLY;
           case 26: return REJECTED;
+          case 27: return FOLLOWED;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -683,6 +717,37 @@
       return io.anvilpick.peer.wire.PeerProto.Acquit.getDefaultInstance();
     }
 
+    public static final int FOLLOW_FIELD_NUMBER = 11;
+    /**
+     * <code>.anvilpick.peer.Follow follow = 11;</code>
+     * @return Whether the follow field is set.
+     */
+    @java.lang.Override
+    public boolean hasFollow() {
+      return bodyCase_ == 11;
+    }
+    /**
+     * <code>.anvilpick.peer.Follow follow = 11;</code>
+     * @return The follow.
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.Follow getFollow() {
+      if (bodyCase_ == 11) {
+         return (io.anvilpick.peer.wire.PeerProto.Follow) body_;
+      }
+      return io.anvilpick.peer.wire.PeerProto.Follow.getDefaultInstance();
+    }
+    /**
+     * <code>.anvilpick.peer.Follow follow = 11;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.FollowOrBuilder getFollowOrBuilder() {
+      if (bodyCase_ == 11) {
+         return (io.anvilpick.peer.wire.PeerProto.Follow) body_;
+      }
+      return io.anvilpick.peer.wire.PeerProto.Follow.getDefaultInstance();
+    }
+
     public static final int DONE_FIELD_NUMBER = 20;
     /**
      * <code>.anvilpick.peer.Done done = 20;</code>
@@ -900,6 +965,37 @@
       return io.anvilpick.peer.wire.PeerProto.Rejected.getDefaultInstance();
     }
 
+    public static final int FOLLOWED_FIELD_NUMBER = 27;
+    /**
+     * <code>.anvilpick.peer.Followed followed = 27;</code>
+     * @return Whether the followed field is set.
+     */
+    @java.lang.Override
+    public boolean hasFollowed() {
+      return bodyCase_ == 27;
+    }
+    /**
+     * <code>.anvilpick.peer.Followed followed = 27;</code>
+     * @return The followed.
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.Followed getFollowed() {
+      if (bodyCase_ == 27) {
+         return (io.anvilpick.peer.wire.PeerProto.Followed) body_;
+      }
+      return io.anvilpick.peer.wire.PeerProto.Followed.getDefaultInstance();
+    }
+    /**
+     * <code>.anvilpick.peer.Followed followed = 27;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.FollowedOrBuilder getFollowedOrBuilder() {
+      if (bodyCase_ == 27) {
+         return (io.anvilpick.peer.wire.PeerProto.Followed) body_;
+      }
+      return io.anvilpick.peer.wire.PeerProto.Followed.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -944,6 +1040,9 @@
       if (bodyCase_ == 10) {
         output.writeMessage(10, (io.anvilpick.peer.wire.PeerProto.Acquit) body_);
       }
+      if (bodyCase_ == 11) {
+        output.writeMessage(11, (io.anvilpick.peer.wire.PeerProto.Follow) body_);
+      }
       if (bodyCase_ == 20) {
         output.writeMessage(20, (io.anvilpick.peer.wire.PeerProto.Done) body_);
       }
@@ -965,6 +1064,9 @@
       if (bodyCase_ == 26) {
         output.writeMessage(26, (io.anvilpick.peer.wire.PeerProto.Rejected) body_);
       }
+      if (bodyCase_ == 27) {
+        output.writeMessage(27, (io.anvilpick.peer.wire.PeerProto.Followed) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -1014,6 +1116,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(10, (io.anvilpick.peer.wire.PeerProto.Acquit) body_);
       }
+      if (bodyCase_ == 11) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(11, (io.anvilpick.peer.wire.PeerProto.Follow) body_);
+      }
       if (bodyCase_ == 20) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(20, (io.anvilpick.peer.wire.PeerProto.Done) body_);
@@ -1042,6 +1148,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(26, (io.anvilpick.peer.wire.PeerProto.Rejected) body_);
       }
+      if (bodyCase_ == 27) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(27, (io.anvilpick.peer.wire.PeerProto.Followed) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -1097,6 +1207,10 @@
           if (!getAcquit()
               .equals(other.getAcquit())) return false;
           break;
+        case 11:
+          if (!getFollow()
+              .equals(other.getFollow())) return false;
+          break;
         case 20:
           if (!getDone()
               .equals(other.getDone())) return false;
@@ -1125,6 +1239,10 @@
           if (!getRejected()
               .equals(other.getRejected())) return false;
           break;
+        case 27:
+          if (!getFollowed()
+              .equals(other.getFollowed())) return false;
+          break;
         case 0:
         default:
       }
@@ -1179,6 +1297,10 @@
           hash = (37 * hash) + ACQUIT_FIELD_NUMBER;
           hash = (53 * hash) + getAcquit().hashCode();
           break;
+        case 11:
+          hash = (37 * hash) + FOLLOW_FIELD_NUMBER;
+          hash = (53 * hash) + getFollow().hashCode();
+          break;
         case 20:
           hash = (37 * hash) + DONE_FIELD_NUMBER;
           hash = (53 * hash) + getDone().hashCode();
@@ -1207,6 +1329,10 @@
           hash = (37 * hash) + REJECTED_FIELD_NUMBER;
           hash = (53 * hash) + getRejected().hashCode();
           break;
+        case 27:
+          hash = (37 * hash) + FOLLOWED_FIELD_NUMBER;
+          hash = (53 * hash) + getFollowed().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1369,6 +1495,9 @@
         if (acquitBuilder_ != null) {
           acquitBuilder_.clear();
         }
+        if (followBuilder_ != null) {
+          followBuilder_.clear();
+        }
         if (doneBuilder_ != null) {
           doneBuilder_.clear();
         }
@@ -1390,6 +1519,9 @@
         if (rejectedBuilder_ != null) {
           rejectedBuilder_.clear();
         }
+        if (followedBuilder_ != null) {
+          followedBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -1470,6 +1602,10 @@
             acquitBuilder_ != null) {
           result.body_ = acquitBuilder_.build();
         }
+        if (bodyCase_ == 11 &&
+            followBuilder_ != null) {
+          result.body_ = followBuilder_.build();
+        }
         if (bodyCase_ == 20 &&
             doneBuilder_ != null) {
           result.body_ = doneBuilder_.build();
@@ -1498,6 +1634,10 @@
             rejectedBuilder_ != null) {
           result.body_ = rejectedBuilder_.build();
         }
+        if (bodyCase_ == 27 &&
+            followedBuilder_ != null) {
+          result.body_ = followedBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1552,6 +1692,10 @@
             mergeAcquit(other.getAcquit());
             break;
           }
+          case FOLLOW: {
+            mergeFollow(other.getFollow());
+            break;
+          }
           case DONE: {
             mergeDone(other.getDone());
             break;
@@ -1580,6 +1724,10 @@
             mergeRejected(other.getRejected());
             break;
           }
+          case FOLLOWED: {
+            mergeFollowed(other.getFollowed());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -1678,6 +1826,13 @@
                 bodyCase_ = 10;
                 break;
               } // case 82
+              case 90: {
+                input.readMessage(
+                    internalGetFollowFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 11;
+                break;
+              } // case 90
               case 162: {
                 input.readMessage(
                     internalGetDoneFieldBuilder().getBuilder(),
@@ -1727,6 +1882,13 @@
                 bodyCase_ = 26;
                 break;
               } // case 210
+              case 218: {
+                input.readMessage(
+                    internalGetFollowedFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 27;
+                break;
+              } // case 218
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3081,6 +3243,148 @@
         return acquitBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.Follow, io.anvilpick.peer.wire.PeerProto.Follow.Builder, io.anvilpick.peer.wire.PeerProto.FollowOrBuilder> followBuilder_;
+      /**
+       * <code>.anvilpick.peer.Follow follow = 11;</code>
+       * @return Whether the follow field is set.
+       */
+      @java.lang.Override
+      public boolean hasFollow() {
+        return bodyCase_ == 11;
+      }
+      /**
+       * <code>.anvilpick.peer.Follow follow = 11;</code>
+       * @return The follow.
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Follow getFollow() {
+        if (followBuilder_ == null) {
+          if (bodyCase_ == 11) {
+            return (io.anvilpick.peer.wire.PeerProto.Follow) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.Follow.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 11) {
+            return followBuilder_.getMessage();
+          }
+          return io.anvilpick.peer.wire.PeerProto.Follow.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.Follow follow = 11;</code>
+       */
+      public Builder setFollow(io.anvilpick.peer.wire.PeerProto.Follow value) {
+        if (followBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          followBuilder_.setMessage(value);
+        }
+        bodyCase_ = 11;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Follow follow = 11;</code>
+       */
+      public Builder setFollow(
+          io.anvilpick.peer.wire.PeerProto.Follow.Builder builderForValue) {
+        if (followBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          followBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 11;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Follow follow = 11;</code>
+       */
+      public Builder mergeFollow(io.anvilpick.peer.wire.PeerProto.Follow value) {
+        if (followBuilder_ == null) {
+          if (bodyCase_ == 11 &&
+              body_ != io.anvilpick.peer.wire.PeerProto.Follow.getDefaultInstance()) {
+            body_ = io.anvilpick.peer.wire.PeerProto.Follow.newBuilder((io.anvilpick.peer.wire.PeerProto.Follow) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 11) {
+            followBuilder_.mergeFrom(value);
+          } else {
+            followBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 11;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Follow follow = 11;</code>
+       */
+      public Builder clearFollow() {
+        if (followBuilder_ == null) {
+          if (bodyCase_ == 11) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 11) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          followBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Follow follow = 11;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.Follow.Builder getFollowBuilder() {
+        return internalGetFollowFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.anvilpick.peer.Follow follow = 11;</code>
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.FollowOrBuilder getFollowOrBuilder() {
+        if ((bodyCase_ == 11) && (followBuilder_ != null)) {
+          return followBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 11) {
+            return (io.anvilpick.peer.wire.PeerProto.Follow) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.Follow.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.Follow follow = 11;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.Follow, io.anvilpick.peer.wire.PeerProto.Follow.Builder, io.anvilpick.peer.wire.PeerProto.FollowOrBuilder> 
+          internalGetFollowFieldBuilder() {
+        if (followBuilder_ == null) {
+          if (!(bodyCase_ == 11)) {
+            body_ = io.anvilpick.peer.wire.PeerProto.Follow.getDefaultInstance();
+          }
+          followBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.Follow, io.anvilpick.peer.wire.PeerProto.Follow.Builder, io.anvilpick.peer.wire.PeerProto.FollowOrBuilder>(
+                  (io.anvilpick.peer.wire.PeerProto.Follow) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 11;
+        onChanged();
+        return followBuilder_;
+      }
+
       private com.google.protobuf.SingleFieldBuilder<
           io.anvilpick.peer.wire.PeerProto.Done, io.anvilpick.peer.wire.PeerProto.Done.Builder, io.anvilpick.peer.wire.PeerProto.DoneOrBuilder> doneBuilder_;
       /**
@@ -3883,215 +4187,2607 @@
             onChanged();
           }
         } else {
-          if (bodyCase_ == 25) {
-            bodyCase_ = 0;
-            body_ = null;
-          }
-          partsReplyBuilder_.clear();
+          if (bodyCase_ == 25) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          partsReplyBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.PartsReply parts_reply = 25;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.PartsReply.Builder getPartsReplyBuilder() {
+        return internalGetPartsReplyFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.anvilpick.peer.PartsReply parts_reply = 25;</code>
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.PartsReplyOrBuilder getPartsReplyOrBuilder() {
+        if ((bodyCase_ == 25) && (partsReplyBuilder_ != null)) {
+          return partsReplyBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 25) {
+            return (io.anvilpick.peer.wire.PeerProto.PartsReply) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.PartsReply.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.PartsReply parts_reply = 25;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.PartsReply, io.anvilpick.peer.wire.PeerProto.PartsReply.Builder, io.anvilpick.peer.wire.PeerProto.PartsReplyOrBuilder> 
+          internalGetPartsReplyFieldBuilder() {
+        if (partsReplyBuilder_ == null) {
+          if (!(bodyCase_ == 25)) {
+            body_ = io.anvilpick.peer.wire.PeerProto.PartsReply.getDefaultInstance();
+          }
+          partsReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.PartsReply, io.anvilpick.peer.wire.PeerProto.PartsReply.Builder, io.anvilpick.peer.wire.PeerProto.PartsReplyOrBuilder>(
+                  (io.anvilpick.peer.wire.PeerProto.PartsReply) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 25;
+        onChanged();
+        return partsReplyBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.Rejected, io.anvilpick.peer.wire.PeerProto.Rejected.Builder, io.anvilpick.peer.wire.PeerProto.RejectedOrBuilder> rejectedBuilder_;
+      /**
+       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       * @return Whether the rejected field is set.
+       */
+      @java.lang.Override
+      public boolean hasRejected() {
+        return bodyCase_ == 26;
+      }
+      /**
+       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       * @return The rejected.
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Rejected getRejected() {
+        if (rejectedBuilder_ == null) {
+          if (bodyCase_ == 26) {
+            return (io.anvilpick.peer.wire.PeerProto.Rejected) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.Rejected.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 26) {
+            return rejectedBuilder_.getMessage();
+          }
+          return io.anvilpick.peer.wire.PeerProto.Rejected.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       */
+      public Builder setRejected(io.anvilpick.peer.wire.PeerProto.Rejected value) {
+        if (rejectedBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          rejectedBuilder_.setMessage(value);
+        }
+        bodyCase_ = 26;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       */
+      public Builder setRejected(
+          io.anvilpick.peer.wire.PeerProto.Rejected.Builder builderForValue) {
+        if (rejectedBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          rejectedBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 26;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       */
+      public Builder mergeRejected(io.anvilpick.peer.wire.PeerProto.Rejected value) {
+        if (rejectedBuilder_ == null) {
+          if (bodyCase_ == 26 &&
+              body_ != io.anvilpick.peer.wire.PeerProto.Rejected.getDefaultInstance()) {
+            body_ = io.anvilpick.peer.wire.PeerProto.Rejected.newBuilder((io.anvilpick.peer.wire.PeerProto.Rejected) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 26) {
+            rejectedBuilder_.mergeFrom(value);
+          } else {
+            rejectedBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 26;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       */
+      public Builder clearRejected() {
+        if (rejectedBuilder_ == null) {
+          if (bodyCase_ == 26) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 26) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          rejectedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.Rejected.Builder getRejectedBuilder() {
+        return internalGetRejectedFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.RejectedOrBuilder getRejectedOrBuilder() {
+        if ((bodyCase_ == 26) && (rejectedBuilder_ != null)) {
+          return rejectedBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 26) {
+            return (io.anvilpick.peer.wire.PeerProto.Rejected) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.Rejected.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.Rejected, io.anvilpick.peer.wire.PeerProto.Rejected.Builder, io.anvilpick.peer.wire.PeerProto.RejectedOrBuilder> 
+          internalGetRejectedFieldBuilder() {
+        if (rejectedBuilder_ == null) {
+          if (!(bodyCase_ == 26)) {
+            body_ = io.anvilpick.peer.wire.PeerProto.Rejected.getDefaultInstance();
+          }
+          rejectedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.Rejected, io.anvilpick.peer.wire.PeerProto.Rejected.Builder, io.anvilpick.peer.wire.PeerProto.RejectedOrBuilder>(
+                  (io.anvilpick.peer.wire.PeerProto.Rejected) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 26;
+        onChanged();
+        return rejectedBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.Followed, io.anvilpick.peer.wire.PeerProto.Followed.Builder, io.anvilpick.peer.wire.PeerProto.FollowedOrBuilder> followedBuilder_;
+      /**
+       * <code>.anvilpick.peer.Followed followed = 27;</code>
+       * @return Whether the followed field is set.
+       */
+      @java.lang.Override
+      public boolean hasFollowed() {
+        return bodyCase_ == 27;
+      }
+      /**
+       * <code>.anvilpick.peer.Followed followed = 27;</code>
+       * @return The followed.
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Followed getFollowed() {
+        if (followedBuilder_ == null) {
+          if (bodyCase_ == 27) {
+            return (io.anvilpick.peer.wire.PeerProto.Followed) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.Followed.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 27) {
+            return followedBuilder_.getMessage();
+          }
+          return io.anvilpick.peer.wire.PeerProto.Followed.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.Followed followed = 27;</code>
+       */
+      public Builder setFollowed(io.anvilpick.peer.wire.PeerProto.Followed value) {
+        if (followedBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          followedBuilder_.setMessage(value);
+        }
+        bodyCase_ = 27;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Followed followed = 27;</code>
+       */
+      public Builder setFollowed(
+          io.anvilpick.peer.wire.PeerProto.Followed.Builder builderForValue) {
+        if (followedBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          followedBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 27;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Followed followed = 27;</code>
+       */
+      public Builder mergeFollowed(io.anvilpick.peer.wire.PeerProto.Followed value) {
+        if (followedBuilder_ == null) {
+          if (bodyCase_ == 27 &&
+              body_ != io.anvilpick.peer.wire.PeerProto.Followed.getDefaultInstance()) {
+            body_ = io.anvilpick.peer.wire.PeerProto.Followed.newBuilder((io.anvilpick.peer.wire.PeerProto.Followed) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 27) {
+            followedBuilder_.mergeFrom(value);
+          } else {
+            followedBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 27;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Followed followed = 27;</code>
+       */
+      public Builder clearFollowed() {
+        if (followedBuilder_ == null) {
+          if (bodyCase_ == 27) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 27) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          followedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Followed followed = 27;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.Followed.Builder getFollowedBuilder() {
+        return internalGetFollowedFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.anvilpick.peer.Followed followed = 27;</code>
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.FollowedOrBuilder getFollowedOrBuilder() {
+        if ((bodyCase_ == 27) && (followedBuilder_ != null)) {
+          return followedBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 27) {
+            return (io.anvilpick.peer.wire.PeerProto.Followed) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.Followed.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.Followed followed = 27;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.Followed, io.anvilpick.peer.wire.PeerProto.Followed.Builder, io.anvilpick.peer.wire.PeerProto.FollowedOrBuilder> 
+          internalGetFollowedFieldBuilder() {
+        if (followedBuilder_ == null) {
+          if (!(bodyCase_ == 27)) {
+            body_ = io.anvilpick.peer.wire.PeerProto.Followed.getDefaultInstance();
+          }
+          followedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.Followed, io.anvilpick.peer.wire.PeerProto.Followed.Builder, io.anvilpick.peer.wire.PeerProto.FollowedOrBuilder>(
+                  (io.anvilpick.peer.wire.PeerProto.Followed) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 27;
+        onChanged();
+        return followedBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.Envelope)
+    }
+
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.Envelope)
+    private static final io.anvilpick.peer.wire.PeerProto.Envelope DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.Envelope();
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Envelope getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Envelope>
+        PARSER = new com.google.protobuf.AbstractParser<Envelope>() {
+      @java.lang.Override
+      public Envelope parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Envelope> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Envelope> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.Envelope getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface FollowOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:anvilpick.peer.Follow)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>int64 after = 1;</code>
+     * @return The after.
+     */
+    long getAfter();
+  }
+  /**
+   * <pre>
+   * Asks what the other daemon has read of the store after this revision; a negative one asks for everything.
+   * </pre>
+   *
+   * Protobuf type {@code anvilpick.peer.Follow}
+   */
+  public static final class Follow extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:anvilpick.peer.Follow)
+      FollowOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "Follow");
+    }
+    // Use Follow.newBuilder() to construct.
+    private Follow(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Follow() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Follow_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Follow_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.anvilpick.peer.wire.PeerProto.Follow.class, io.anvilpick.peer.wire.PeerProto.Follow.Builder.class);
+    }
+
+    public static final int AFTER_FIELD_NUMBER = 1;
+    private long after_ = 0L;
+    /**
+     * <code>int64 after = 1;</code>
+     * @return The after.
+     */
+    @java.lang.Override
+    public long getAfter() {
+      return after_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (after_ != 0L) {
+        output.writeInt64(1, after_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (after_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(1, after_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.Follow)) {
+        return super.equals(obj);
+      }
+      io.anvilpick.peer.wire.PeerProto.Follow other = (io.anvilpick.peer.wire.PeerProto.Follow) obj;
+
+      if (getAfter()
+          != other.getAfter()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + AFTER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAfter());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Follow parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.Follow prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Asks what the other daemon has read of the store after this revision; a negative one asks for everything.
+     * </pre>
+     *
+     * Protobuf type {@code anvilpick.peer.Follow}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:anvilpick.peer.Follow)
+        io.anvilpick.peer.wire.PeerProto.FollowOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Follow_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Follow_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.anvilpick.peer.wire.PeerProto.Follow.class, io.anvilpick.peer.wire.PeerProto.Follow.Builder.class);
+      }
+
+      // Construct using io.anvilpick.peer.wire.PeerProto.Follow.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        after_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Follow_descriptor;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Follow getDefaultInstanceForType() {
+        return io.anvilpick.peer.wire.PeerProto.Follow.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Follow build() {
+        io.anvilpick.peer.wire.PeerProto.Follow result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Follow buildPartial() {
+        io.anvilpick.peer.wire.PeerProto.Follow result = new io.anvilpick.peer.wire.PeerProto.Follow(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.Follow result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.after_ = after_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.anvilpick.peer.wire.PeerProto.Follow) {
+          return mergeFrom((io.anvilpick.peer.wire.PeerProto.Follow)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.Follow other) {
+        if (other == io.anvilpick.peer.wire.PeerProto.Follow.getDefaultInstance()) return this;
+        if (other.getAfter() != 0L) {
+          setAfter(other.getAfter());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                after_ = input.readInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long after_ ;
+      /**
+       * <code>int64 after = 1;</code>
+       * @return The after.
+       */
+      @java.lang.Override
+      public long getAfter() {
+        return after_;
+      }
+      /**
+       * <code>int64 after = 1;</code>
+       * @param value The after to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAfter(long value) {
+
+        after_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 after = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAfter() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        after_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.Follow)
+    }
+
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.Follow)
+    private static final io.anvilpick.peer.wire.PeerProto.Follow DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.Follow();
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Follow getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Follow>
+        PARSER = new com.google.protobuf.AbstractParser<Follow>() {
+      @java.lang.Override
+      public Follow parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Follow> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Follow> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.Follow getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StoredItemOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:anvilpick.peer.StoredItem)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string key = 1;</code>
+     * @return The key.
+     */
+    java.lang.String getKey();
+    /**
+     * <code>string key = 1;</code>
+     * @return The bytes for key.
+     */
+    com.google.protobuf.ByteString
+        getKeyBytes();
+
+    /**
+     * <code>int64 revision = 2;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <pre>
+     * Absent if the item was deleted.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return Whether the value field is set.
+     */
+    boolean hasValue();
+    /**
+     * <pre>
+     * Absent if the item was deleted.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return The value.
+     */
+    java.lang.String getValue();
+    /**
+     * <pre>
+     * Absent if the item was deleted.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return The bytes for value.
+     */
+    com.google.protobuf.ByteString
+        getValueBytes();
+  }
+  /**
+   * Protobuf type {@code anvilpick.peer.StoredItem}
+   */
+  public static final class StoredItem extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:anvilpick.peer.StoredItem)
+      StoredItemOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "StoredItem");
+    }
+    // Use StoredItem.newBuilder() to construct.
+    private StoredItem(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StoredItem() {
+      key_ = "";
+      value_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_StoredItem_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_StoredItem_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.anvilpick.peer.wire.PeerProto.StoredItem.class, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int KEY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object key_ = "";
+    /**
+     * <code>string key = 1;</code>
+     * @return The key.
+     */
+    @java.lang.Override
+    public java.lang.String getKey() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        key_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string key = 1;</code>
+     * @return The bytes for key.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getKeyBytes() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        key_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 2;
+    private long revision_ = 0L;
+    /**
+     * <code>int64 revision = 2;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int VALUE_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object value_ = "";
+    /**
+     * <pre>
+     * Absent if the item was deleted.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return Whether the value field is set.
+     */
+    @java.lang.Override
+    public boolean hasValue() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Absent if the item was deleted.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return The value.
+     */
+    @java.lang.Override
+    public java.lang.String getValue() {
+      java.lang.Object ref = value_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        value_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Absent if the item was deleted.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return The bytes for value.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getValueBytes() {
+      java.lang.Object ref = value_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        value_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, key_);
+      }
+      if (revision_ != 0L) {
+        output.writeInt64(2, revision_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, value_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, key_);
+      }
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, revision_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, value_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.StoredItem)) {
+        return super.equals(obj);
+      }
+      io.anvilpick.peer.wire.PeerProto.StoredItem other = (io.anvilpick.peer.wire.PeerProto.StoredItem) obj;
+
+      if (!getKey()
+          .equals(other.getKey())) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (hasValue() != other.hasValue()) return false;
+      if (hasValue()) {
+        if (!getValue()
+            .equals(other.getValue())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + KEY_FIELD_NUMBER;
+      hash = (53 * hash) + getKey().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      if (hasValue()) {
+        hash = (37 * hash) + VALUE_FIELD_NUMBER;
+        hash = (53 * hash) + getValue().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.StoredItem prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code anvilpick.peer.StoredItem}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:anvilpick.peer.StoredItem)
+        io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_StoredItem_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_StoredItem_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.anvilpick.peer.wire.PeerProto.StoredItem.class, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder.class);
+      }
+
+      // Construct using io.anvilpick.peer.wire.PeerProto.StoredItem.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        key_ = "";
+        revision_ = 0L;
+        value_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_StoredItem_descriptor;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.StoredItem getDefaultInstanceForType() {
+        return io.anvilpick.peer.wire.PeerProto.StoredItem.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.StoredItem build() {
+        io.anvilpick.peer.wire.PeerProto.StoredItem result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.StoredItem buildPartial() {
+        io.anvilpick.peer.wire.PeerProto.StoredItem result = new io.anvilpick.peer.wire.PeerProto.StoredItem(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.StoredItem result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.key_ = key_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.revision_ = revision_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.value_ = value_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.anvilpick.peer.wire.PeerProto.StoredItem) {
+          return mergeFrom((io.anvilpick.peer.wire.PeerProto.StoredItem)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.StoredItem other) {
+        if (other == io.anvilpick.peer.wire.PeerProto.StoredItem.getDefaultInstance()) return this;
+        if (!other.getKey().isEmpty()) {
+          key_ = other.key_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.hasValue()) {
+          value_ = other.value_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                key_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                revision_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                value_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object key_ = "";
+      /**
+       * <code>string key = 1;</code>
+       * @return The key.
+       */
+      public java.lang.String getKey() {
+        java.lang.Object ref = key_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          key_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @return The bytes for key.
+       */
+      public com.google.protobuf.ByteString
+          getKeyBytes() {
+        java.lang.Object ref = key_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          key_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @param value The key to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKey(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        key_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKey() {
+        key_ = getDefaultInstance().getKey();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @param value The bytes for key to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKeyBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        key_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long revision_ ;
+      /**
+       * <code>int64 revision = 2;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>int64 revision = 2;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 revision = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object value_ = "";
+      /**
+       * <pre>
+       * Absent if the item was deleted.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @return Whether the value field is set.
+       */
+      public boolean hasValue() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <pre>
+       * Absent if the item was deleted.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @return The value.
+       */
+      public java.lang.String getValue() {
+        java.lang.Object ref = value_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          value_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Absent if the item was deleted.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @return The bytes for value.
+       */
+      public com.google.protobuf.ByteString
+          getValueBytes() {
+        java.lang.Object ref = value_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          value_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Absent if the item was deleted.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @param value The value to set.
+       * @return This builder for chaining.
+       */
+      public Builder setValue(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        value_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if the item was deleted.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearValue() {
+        value_ = getDefaultInstance().getValue();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if the item was deleted.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @param value The bytes for value to set.
+       * @return This builder for chaining.
+       */
+      public Builder setValueBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        value_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.StoredItem)
+    }
+
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.StoredItem)
+    private static final io.anvilpick.peer.wire.PeerProto.StoredItem DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.StoredItem();
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.StoredItem getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<StoredItem>
+        PARSER = new com.google.protobuf.AbstractParser<StoredItem>() {
+      @java.lang.Override
+      public StoredItem parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<StoredItem> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<StoredItem> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.StoredItem getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface FollowedOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:anvilpick.peer.Followed)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Whether the items are all that there is, or those that have changed.
+     * </pre>
+     *
+     * <code>bool whole = 1;</code>
+     * @return The whole.
+     */
+    boolean getWhole();
+
+    /**
+     * <code>int64 revision = 2;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <pre>
+     * Time since the store was heard, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 age_millis = 3;</code>
+     * @return The ageMillis.
+     */
+    long getAgeMillis();
+
+    /**
+     * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+     */
+    java.util.List<io.anvilpick.peer.wire.PeerProto.StoredItem> 
+        getItemsList();
+    /**
+     * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.StoredItem getItems(int index);
+    /**
+     * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+     */
+    int getItemsCount();
+    /**
+     * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+     */
+    java.util.List<? extends io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder> 
+        getItemsOrBuilderList();
+    /**
+     * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder getItemsOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code anvilpick.peer.Followed}
+   */
+  public static final class Followed extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:anvilpick.peer.Followed)
+      FollowedOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "Followed");
+    }
+    // Use Followed.newBuilder() to construct.
+    private Followed(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Followed() {
+      items_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Followed_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Followed_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.anvilpick.peer.wire.PeerProto.Followed.class, io.anvilpick.peer.wire.PeerProto.Followed.Builder.class);
+    }
+
+    public static final int WHOLE_FIELD_NUMBER = 1;
+    private boolean whole_ = false;
+    /**
+     * <pre>
+     * Whether the items are all that there is, or those that have changed.
+     * </pre>
+     *
+     * <code>bool whole = 1;</code>
+     * @return The whole.
+     */
+    @java.lang.Override
+    public boolean getWhole() {
+      return whole_;
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 2;
+    private long revision_ = 0L;
+    /**
+     * <code>int64 revision = 2;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 3;
+    private long ageMillis_ = 0L;
+    /**
+     * <pre>
+     * Time since the store was heard, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 age_millis = 3;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+
+    public static final int ITEMS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<io.anvilpick.peer.wire.PeerProto.StoredItem> items_;
+    /**
+     * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.anvilpick.peer.wire.PeerProto.StoredItem> getItemsList() {
+      return items_;
+    }
+    /**
+     * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder> 
+        getItemsOrBuilderList() {
+      return items_;
+    }
+    /**
+     * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+     */
+    @java.lang.Override
+    public int getItemsCount() {
+      return items_.size();
+    }
+    /**
+     * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.StoredItem getItems(int index) {
+      return items_.get(index);
+    }
+    /**
+     * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder getItemsOrBuilder(
+        int index) {
+      return items_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (whole_ != false) {
+        output.writeBool(1, whole_);
+      }
+      if (revision_ != 0L) {
+        output.writeInt64(2, revision_);
+      }
+      if (ageMillis_ != 0L) {
+        output.writeInt64(3, ageMillis_);
+      }
+      for (int i = 0; i < items_.size(); i++) {
+        output.writeMessage(4, items_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (whole_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(1, whole_);
+      }
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, revision_);
+      }
+      if (ageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(3, ageMillis_);
+      }
+      for (int i = 0; i < items_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, items_.get(i));
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.Followed)) {
+        return super.equals(obj);
+      }
+      io.anvilpick.peer.wire.PeerProto.Followed other = (io.anvilpick.peer.wire.PeerProto.Followed) obj;
+
+      if (getWhole()
+          != other.getWhole()) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (!getItemsList()
+          .equals(other.getItemsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + WHOLE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getWhole());
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+      if (getItemsCount() > 0) {
+        hash = (37 * hash) + ITEMS_FIELD_NUMBER;
+        hash = (53 * hash) + getItemsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Followed parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.Followed prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code anvilpick.peer.Followed}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:anvilpick.peer.Followed)
+        io.anvilpick.peer.wire.PeerProto.FollowedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Followed_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Followed_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.anvilpick.peer.wire.PeerProto.Followed.class, io.anvilpick.peer.wire.PeerProto.Followed.Builder.class);
+      }
+
+      // Construct using io.anvilpick.peer.wire.PeerProto.Followed.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        whole_ = false;
+        revision_ = 0L;
+        ageMillis_ = 0L;
+        if (itemsBuilder_ == null) {
+          items_ = java.util.Collections.emptyList();
+        } else {
+          items_ = null;
+          itemsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Followed_descriptor;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Followed getDefaultInstanceForType() {
+        return io.anvilpick.peer.wire.PeerProto.Followed.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Followed build() {
+        io.anvilpick.peer.wire.PeerProto.Followed result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Followed buildPartial() {
+        io.anvilpick.peer.wire.PeerProto.Followed result = new io.anvilpick.peer.wire.PeerProto.Followed(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(io.anvilpick.peer.wire.PeerProto.Followed result) {
+        if (itemsBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            items_ = java.util.Collections.unmodifiableList(items_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.items_ = items_;
+        } else {
+          result.items_ = itemsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.Followed result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.whole_ = whole_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.anvilpick.peer.wire.PeerProto.Followed) {
+          return mergeFrom((io.anvilpick.peer.wire.PeerProto.Followed)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.Followed other) {
+        if (other == io.anvilpick.peer.wire.PeerProto.Followed.getDefaultInstance()) return this;
+        if (other.getWhole() != false) {
+          setWhole(other.getWhole());
+        }
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.getAgeMillis() != 0L) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        if (itemsBuilder_ == null) {
+          if (!other.items_.isEmpty()) {
+            if (items_.isEmpty()) {
+              items_ = other.items_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensureItemsIsMutable();
+              items_.addAll(other.items_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.items_.isEmpty()) {
+            if (itemsBuilder_.isEmpty()) {
+              itemsBuilder_.dispose();
+              itemsBuilder_ = null;
+              items_ = other.items_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              itemsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetItemsFieldBuilder() : null;
+            } else {
+              itemsBuilder_.addAllMessages(other.items_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                whole_ = input.readBool();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                revision_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                ageMillis_ = input.readInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
+                io.anvilpick.peer.wire.PeerProto.StoredItem m =
+                    input.readMessage(
+                        io.anvilpick.peer.wire.PeerProto.StoredItem.parser(),
+                        extensionRegistry);
+                if (itemsBuilder_ == null) {
+                  ensureItemsIsMutable();
+                  items_.add(m);
+                } else {
+                  itemsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 34
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private boolean whole_ ;
+      /**
+       * <pre>
+       * Whether the items are all that there is, or those that have changed.
+       * </pre>
+       *
+       * <code>bool whole = 1;</code>
+       * @return The whole.
+       */
+      @java.lang.Override
+      public boolean getWhole() {
+        return whole_;
+      }
+      /**
+       * <pre>
+       * Whether the items are all that there is, or those that have changed.
+       * </pre>
+       *
+       * <code>bool whole = 1;</code>
+       * @param value The whole to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWhole(boolean value) {
+
+        whole_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the items are all that there is, or those that have changed.
+       * </pre>
+       *
+       * <code>bool whole = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWhole() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        whole_ = false;
+        onChanged();
+        return this;
+      }
+
+      private long revision_ ;
+      /**
+       * <code>int64 revision = 2;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>int64 revision = 2;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 revision = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long ageMillis_ ;
+      /**
+       * <pre>
+       * Time since the store was heard, in milliseconds.
+       * </pre>
+       *
+       * <code>int64 age_millis = 3;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public long getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <pre>
+       * Time since the store was heard, in milliseconds.
+       * </pre>
+       *
+       * <code>int64 age_millis = 3;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(long value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Time since the store was heard, in milliseconds.
+       * </pre>
+       *
+       * <code>int64 age_millis = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        ageMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<io.anvilpick.peer.wire.PeerProto.StoredItem> items_ =
+        java.util.Collections.emptyList();
+      private void ensureItemsIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          items_ = new java.util.ArrayList<io.anvilpick.peer.wire.PeerProto.StoredItem>(items_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.StoredItem, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder, io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder> itemsBuilder_;
+
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public java.util.List<io.anvilpick.peer.wire.PeerProto.StoredItem> getItemsList() {
+        if (itemsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(items_);
+        } else {
+          return itemsBuilder_.getMessageList();
         }
-        return this;
       }
       /**
-       * <code>.anvilpick.peer.PartsReply parts_reply = 25;</code>
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      public io.anvilpick.peer.wire.PeerProto.PartsReply.Builder getPartsReplyBuilder() {
-        return internalGetPartsReplyFieldBuilder().getBuilder();
+      public int getItemsCount() {
+        if (itemsBuilder_ == null) {
+          return items_.size();
+        } else {
+          return itemsBuilder_.getCount();
+        }
       }
       /**
-       * <code>.anvilpick.peer.PartsReply parts_reply = 25;</code>
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      @java.lang.Override
-      public io.anvilpick.peer.wire.PeerProto.PartsReplyOrBuilder getPartsReplyOrBuilder() {
-        if ((bodyCase_ == 25) && (partsReplyBuilder_ != null)) {
-          return partsReplyBuilder_.getMessageOrBuilder();
+      public io.anvilpick.peer.wire.PeerProto.StoredItem getItems(int index) {
+        if (itemsBuilder_ == null) {
+          return items_.get(index);
         } else {
-          if (bodyCase_ == 25) {
-            return (io.anvilpick.peer.wire.PeerProto.PartsReply) body_;
-          }
-          return io.anvilpick.peer.wire.PeerProto.PartsReply.getDefaultInstance();
+          return itemsBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>.anvilpick.peer.PartsReply parts_reply = 25;</code>
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      private com.google.protobuf.SingleFieldBuilder<
-          io.anvilpick.peer.wire.PeerProto.PartsReply, io.anvilpick.peer.wire.PeerProto.PartsReply.Builder, io.anvilpick.peer.wire.PeerProto.PartsReplyOrBuilder> 
-          internalGetPartsReplyFieldBuilder() {
-        if (partsReplyBuilder_ == null) {
-          if (!(bodyCase_ == 25)) {
-            body_ = io.anvilpick.peer.wire.PeerProto.PartsReply.getDefaultInstance();
+      public Builder setItems(
+          int index, io.anvilpick.peer.wire.PeerProto.StoredItem value) {
+        if (itemsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
           }
-          partsReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              io.anvilpick.peer.wire.PeerProto.PartsReply, io.anvilpick.peer.wire.PeerProto.PartsReply.Builder, io.anvilpick.peer.wire.PeerProto.PartsReplyOrBuilder>(
-                  (io.anvilpick.peer.wire.PeerProto.PartsReply) body_,
-                  getParentForChildren(),
-                  isClean());
-          body_ = null;
+          ensureItemsIsMutable();
+          items_.set(index, value);
+          onChanged();
+        } else {
+          itemsBuilder_.setMessage(index, value);
         }
-        bodyCase_ = 25;
-        onChanged();
-        return partsReplyBuilder_;
+        return this;
       }
-
-      private com.google.protobuf.SingleFieldBuilder<
-          io.anvilpick.peer.wire.PeerProto.Rejected, io.anvilpick.peer.wire.PeerProto.Rejected.Builder, io.anvilpick.peer.wire.PeerProto.RejectedOrBuilder> rejectedBuilder_;
       /**
-       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
-       * @return Whether the rejected field is set.
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      @java.lang.Override
-      public boolean hasRejected() {
-        return bodyCase_ == 26;
+      public Builder setItems(
+          int index, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          itemsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
       }
       /**
-       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
-       * @return The rejected.
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      @java.lang.Override
-      public io.anvilpick.peer.wire.PeerProto.Rejected getRejected() {
-        if (rejectedBuilder_ == null) {
-          if (bodyCase_ == 26) {
-            return (io.anvilpick.peer.wire.PeerProto.Rejected) body_;
+      public Builder addItems(io.anvilpick.peer.wire.PeerProto.StoredItem value) {
+        if (itemsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
           }
-          return io.anvilpick.peer.wire.PeerProto.Rejected.getDefaultInstance();
+          ensureItemsIsMutable();
+          items_.add(value);
+          onChanged();
         } else {
-          if (bodyCase_ == 26) {
-            return rejectedBuilder_.getMessage();
-          }
-          return io.anvilpick.peer.wire.PeerProto.Rejected.getDefaultInstance();
+          itemsBuilder_.addMessage(value);
         }
+        return this;
       }
       /**
-       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      public Builder setRejected(io.anvilpick.peer.wire.PeerProto.Rejected value) {
-        if (rejectedBuilder_ == null) {
+      public Builder addItems(
+          int index, io.anvilpick.peer.wire.PeerProto.StoredItem value) {
+        if (itemsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          body_ = value;
+          ensureItemsIsMutable();
+          items_.add(index, value);
           onChanged();
         } else {
-          rejectedBuilder_.setMessage(value);
+          itemsBuilder_.addMessage(index, value);
         }
-        bodyCase_ = 26;
         return this;
       }
       /**
-       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      public Builder setRejected(
-          io.anvilpick.peer.wire.PeerProto.Rejected.Builder builderForValue) {
-        if (rejectedBuilder_ == null) {
-          body_ = builderForValue.build();
+      public Builder addItems(
+          io.anvilpick.peer.wire.PeerProto.StoredItem.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.add(builderForValue.build());
           onChanged();
         } else {
-          rejectedBuilder_.setMessage(builderForValue.build());
+          itemsBuilder_.addMessage(builderForValue.build());
         }
-        bodyCase_ = 26;
         return this;
       }
       /**
-       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      public Builder mergeRejected(io.anvilpick.peer.wire.PeerProto.Rejected value) {
-        if (rejectedBuilder_ == null) {
-          if (bodyCase_ == 26 &&
-              body_ != io.anvilpick.peer.wire.PeerProto.Rejected.getDefaultInstance()) {
-            body_ = io.anvilpick.peer.wire.PeerProto.Rejected.newBuilder((io.anvilpick.peer.wire.PeerProto.Rejected) body_)
-                .mergeFrom(value).buildPartial();
-          } else {
-            body_ = value;
-          }
+      public Builder addItems(
+          int index, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.add(index, builderForValue.build());
           onChanged();
         } else {
-          if (bodyCase_ == 26) {
-            rejectedBuilder_.mergeFrom(value);
-          } else {
-            rejectedBuilder_.setMessage(value);
-          }
+          itemsBuilder_.addMessage(index, builderForValue.build());
         }
-        bodyCase_ = 26;
         return this;
       }
       /**
-       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      public Builder clearRejected() {
-        if (rejectedBuilder_ == null) {
-          if (bodyCase_ == 26) {
-            bodyCase_ = 0;
-            body_ = null;
-            onChanged();
-          }
+      public Builder addAllItems(
+          java.lang.Iterable<? extends io.anvilpick.peer.wire.PeerProto.StoredItem> values) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, items_);
+          onChanged();
         } else {
-          if (bodyCase_ == 26) {
-            bodyCase_ = 0;
-            body_ = null;
-          }
-          rejectedBuilder_.clear();
+          itemsBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      public io.anvilpick.peer.wire.PeerProto.Rejected.Builder getRejectedBuilder() {
-        return internalGetRejectedFieldBuilder().getBuilder();
+      public Builder clearItems() {
+        if (itemsBuilder_ == null) {
+          items_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          itemsBuilder_.clear();
+        }
+        return this;
       }
       /**
-       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      @java.lang.Override
-      public io.anvilpick.peer.wire.PeerProto.RejectedOrBuilder getRejectedOrBuilder() {
-        if ((bodyCase_ == 26) && (rejectedBuilder_ != null)) {
-          return rejectedBuilder_.getMessageOrBuilder();
+      public Builder removeItems(int index) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.remove(index);
+          onChanged();
         } else {
-          if (bodyCase_ == 26) {
-            return (io.anvilpick.peer.wire.PeerProto.Rejected) body_;
-          }
-          return io.anvilpick.peer.wire.PeerProto.Rejected.getDefaultInstance();
+          itemsBuilder_.remove(index);
         }
+        return this;
       }
       /**
-       * <code>.anvilpick.peer.Rejected rejected = 26;</code>
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
        */
-      private com.google.protobuf.SingleFieldBuilder<
-          io.anvilpick.peer.wire.PeerProto.Rejected, io.anvilpick.peer.wire.PeerProto.Rejected.Builder, io.anvilpick.peer.wire.PeerProto.RejectedOrBuilder> 
-          internalGetRejectedFieldBuilder() {
-        if (rejectedBuilder_ == null) {
-          if (!(bodyCase_ == 26)) {
-            body_ = io.anvilpick.peer.wire.PeerProto.Rejected.getDefaultInstance();
-          }
-          rejectedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              io.anvilpick.peer.wire.PeerProto.Rejected, io.anvilpick.peer.wire.PeerProto.Rejected.Builder, io.anvilpick.peer.wire.PeerProto.RejectedOrBuilder>(
-                  (io.anvilpick.peer.wire.PeerProto.Rejected) body_,
+      public io.anvilpick.peer.wire.PeerProto.StoredItem.Builder getItemsBuilder(
+          int index) {
+        return internalGetItemsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder getItemsOrBuilder(
+          int index) {
+        if (itemsBuilder_ == null) {
+          return items_.get(index);  } else {
+          return itemsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder> 
+           getItemsOrBuilderList() {
+        if (itemsBuilder_ != null) {
+          return itemsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(items_);
+        }
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.StoredItem.Builder addItemsBuilder() {
+        return internalGetItemsFieldBuilder().addBuilder(
+            io.anvilpick.peer.wire.PeerProto.StoredItem.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.StoredItem.Builder addItemsBuilder(
+          int index) {
+        return internalGetItemsFieldBuilder().addBuilder(
+            index, io.anvilpick.peer.wire.PeerProto.StoredItem.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public java.util.List<io.anvilpick.peer.wire.PeerProto.StoredItem.Builder> 
+           getItemsBuilderList() {
+        return internalGetItemsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.StoredItem, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder, io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder> 
+          internalGetItemsFieldBuilder() {
+        if (itemsBuilder_ == null) {
+          itemsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.StoredItem, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder, io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder>(
+                  items_,
+                  ((bitField0_ & 0x00000008) != 0),
                   getParentForChildren(),
                   isClean());
-          body_ = null;
+          items_ = null;
         }
-        bodyCase_ = 26;
-        onChanged();
-        return rejectedBuilder_;
+        return itemsBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:anvilpick.peer.Envelope)
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.Followed)
     }
 
-    // @@protoc_insertion_point(class_scope:anvilpick.peer.Envelope)
-    private static final io.anvilpick.peer.wire.PeerProto.Envelope DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.Followed)
+    private static final io.anvilpick.peer.wire.PeerProto.Followed DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.Envelope();
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.Followed();
     }
 
-    public static io.anvilpick.peer.wire.PeerProto.Envelope getDefaultInstance() {
+    public static io.anvilpick.peer.wire.PeerProto.Followed getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Envelope>
-        PARSER = new com.google.protobuf.AbstractParser<Envelope>() {
+    private static final com.google.protobuf.Parser<Followed>
+        PARSER = new com.google.protobuf.AbstractParser<Followed>() {
       @java.lang.Override
-      public Envelope parsePartialFrom(
+      public Followed parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -4110,17 +6806,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Envelope> parser() {
+    public static com.google.protobuf.Parser<Followed> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Envelope> getParserForType() {
+    public com.google.protobuf.Parser<Followed> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public io.anvilpick.peer.wire.PeerProto.Envelope getDefaultInstanceForType() {
+    public io.anvilpick.peer.wire.PeerProto.Followed getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -26207,6 +28903,21 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_anvilpick_peer_Envelope_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_anvilpick_peer_Follow_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_anvilpick_peer_Follow_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_anvilpick_peer_StoredItem_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_anvilpick_peer_StoredItem_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_anvilpick_peer_Followed_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_anvilpick_peer_Followed_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_anvilpick_peer_ClaimKey_descriptor;
   private static final 
@@ -26356,7 +29067,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\016anvilpick.peer\"\367\005\n\010Envelop" +
+      "\n\npeer.proto\022\016anvilpick.peer\"\317\006\n\010Envelop" +
       "e\022\022\n\nrequest_id\030\001 \001(\004\022/\n\nclaim_vote\030\002 \001(" +
       "\0132\031.anvilpick.peer.ClaimVoteH\000\0223\n\014claim_" +
       "settle\030\003 \001(\0132\033.anvilpick.peer.ClaimSettl" +
@@ -26367,78 +29078,85 @@
       "nvilpick.peer.GossipH\000\022&\n\005parts\030\010 \001(\0132\025." +
       "anvilpick.peer.PartsH\000\022&\n\005crash\030\t \001(\0132\025." +
       "anvilpick.peer.CrashH\000\022(\n\006acquit\030\n \001(\0132\026" +
-      ".anvilpick.peer.AcquitH\000\022$\n\004done\030\024 \001(\0132\024" +
-      ".anvilpick.peer.DoneH\000\022&\n\005voted\030\025 \001(\0132\025." +
-      "anvilpick.peer.VotedH\000\022(\n\006sealed\030\026 \001(\0132\026" +
-      ".anvilpick.peer.SealedH\000\022.\n\tinstalled\030\027 " +
-      "\001(\0132\031.anvilpick.peer.InstalledH\000\0223\n\014goss" +
-      "ip_reply\030\030 \001(\0132\033.anvilpick.peer.GossipRe" +
-      "plyH\000\0221\n\013parts_reply\030\031 \001(\0132\032.anvilpick.p" +
-      "eer.PartsReplyH\000\022,\n\010rejected\030\032 \001(\0132\030.anv" +
-      "ilpick.peer.RejectedH\000B\006\n\004body\"8\n\010ClaimK" +
-      "ey\022\017\n\007service\030\001 \001(\t\022\016\n\006tenant\030\002 \001(\t\022\013\n\003k" +
-      "ey\030\003 \001(\t\"@\n\nKeptAnswer\022\016\n\006status\030\001 \001(\005\022\024" +
-      "\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\245\001\n\nC" +
-      "laimState\022-\n\004kind\030\001 \001(\0162\037.anvilpick.peer" +
-      ".ClaimState.Kind\022/\n\006answer\030\002 \001(\0132\032.anvil" +
-      "pick.peer.KeptAnswerH\000\210\001\001\",\n\004Kind\022\013\n\007RUN" +
-      "NING\020\000\022\010\n\004DONE\020\001\022\r\n\tUNSETTLED\020\002B\t\n\007_answ" +
-      "er\"\263\001\n\005Claim\022%\n\003key\030\001 \001(\0132\030.anvilpick.pe" +
-      "er.ClaimKey\022\016\n\006holder\030\002 \001(\t\022\023\n\013fingerpri" +
-      "nt\030\003 \001(\t\022)\n\005state\030\004 \001(\0132\032.anvilpick.peer" +
-      ".ClaimState\022\031\n\021runs_until_millis\030\005 \001(\003\022\030" +
-      "\n\020forget_at_millis\030\006 \001(\003\"O\n\tClaimVote\022\r\n" +
-      "\005group\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022$\n\005claim\030\003 \001" +
-      "(\0132\025.anvilpick.peer.Claim\"|\n\013ClaimSettle" +
-      "\022\r\n\005group\030\001 \001(\005\022%\n\003key\030\002 \001(\0132\030.anvilpick" +
-      ".peer.ClaimKey\022\016\n\006holder\030\003 \001(\t\022\'\n\003end\030\004 " +
-      "\001(\0132\032.anvilpick.peer.ClaimState\"T\n\014Claim" +
-      "Release\022\r\n\005group\030\001 \001(\005\022%\n\003key\030\002 \001(\0132\030.an" +
-      "vilpick.peer.ClaimKey\022\016\n\006holder\030\003 \001(\t\"$\n" +
-      "\004Seal\022\r\n\005group\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\"a\n\007I" +
-      "nstall\022\r\n\005group\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\021\n\t" +
-      "change_id\030\003 \001(\t\022%\n\006claims\030\004 \003(\0132\025.anvilp" +
-      "ick.peer.Claim\"\203\001\n\006Member\022\020\n\010instance\030\001 " +
-      "\001(\t\022\024\n\014call_address\030\002 \001(\t\022\024\n\014peer_addres" +
-      "s\030\003 \001(\t\022\016\n\006region\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\022\017\n" +
-      "\007leaving\030\006 \001(\010\022\014\n\004beat\030\007 \001(\003\",\n\nMemberBe" +
-      "at\022\020\n\010instance\030\001 \001(\t\022\014\n\004beat\030\002 \001(\003\"b\n\014Me" +
-      "mberDigest\022\'\n\007members\030\001 \003(\0132\026.anvilpick." +
-      "peer.Member\022)\n\005beats\030\002 \003(\0132\032.anvilpick.p" +
-      "eer.MemberBeat\"\216\001\n\006Gossip\022\026\n\016config_vers" +
-      "ion\030\001 \001(\003\022\031\n\021claim_map_version\030\002 \001(\003\022\034\n\024" +
-      "leaving_as_of_millis\030\004 \001(\003\022-\n\007members\030\005 " +
-      "\001(\0132\034.anvilpick.peer.MemberDigestJ\004\010\003\020\004\"" +
-      "6\n\013LeavingList\022\024\n\014as_of_millis\030\001 \001(\003\022\021\n\t" +
-      "addresses\030\002 \003(\t\"\030\n\005Parts\022\017\n\007digests\030\001 \003(" +
-      "\t\"?\n\005Crash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006targe" +
-      "t\030\002 \001(\t\022\021\n\tat_millis\030\003 \001(\003\"\035\n\006Acquit\022\023\n\013" +
-      "fingerprint\030\001 \001(\t\"\006\n\004Done\"\250\001\n\005Voted\022(\n\004k" +
-      "ind\030\001 \001(\0162\032.anvilpick.peer.Voted.Kind\022*\n" +
-      "\006holder\030\002 \001(\0132\025.anvilpick.peer.ClaimH\000\210\001" +
-      "\001\022\r\n\005epoch\030\003 \001(\003\"/\n\004Kind\022\013\n\007GRANTED\020\000\022\t\n" +
-      "\005TAKEN\020\001\022\017\n\013WRONG_EPOCH\020\002B\t\n\007_holder\"[\n\006" +
-      "Sealed\022\r\n\005group\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\014\n\004" +
-      "held\030\003 \001(\010\022%\n\006claims\030\004 \003(\0132\025.anvilpick.p" +
-      "eer.Claim\"\031\n\tInstalled\022\014\n\004kept\030\001 \001(\010\"-\n\n" +
-      "SignedHead\022\014\n\004head\030\001 \001(\t\022\021\n\tsignature\030\002 " +
-      "\001(\t\"l\n\nClaimGroup\022\r\n\005index\030\001 \001(\005\022\r\n\005epoc" +
-      "h\030\002 \001(\003\022\021\n\tchange_id\030\003 \001(\t\022\033\n\023trusted_fr" +
-      "om_millis\030\004 \001(\003\022\020\n\010replicas\030\005 \003(\t\"G\n\010Cla" +
-      "imMap\022\017\n\007version\030\001 \001(\003\022*\n\006groups\030\002 \003(\0132\032" +
-      ".anvilpick.peer.ClaimGroup\"\254\002\n\013GossipRep" +
-      "ly\022-\n\004head\030\001 \001(\0132\032.anvilpick.peer.Signed" +
-      "HeadH\000\210\001\001\0220\n\tclaim_map\030\002 \001(\0132\030.anvilpick" +
-      ".peer.ClaimMapH\001\210\001\001\022\026\n\016config_version\030\003 " +
-      "\001(\003\022\031\n\021claim_map_version\030\004 \001(\003\0221\n\007leavin" +
-      "g\030\006 \001(\0132\033.anvilpick.peer.LeavingListH\002\210\001" +
-      "\001\022-\n\007members\030\007 \001(\0132\034.anvilpick.peer.Memb" +
-      "erDigestB\007\n\005_headB\014\n\n_claim_mapB\n\n\010_leav" +
-      "ingJ\004\010\005\020\006\"$\n\004Part\022\016\n\006digest\030\001 \001(\t\022\014\n\004tex" +
-      "t\030\002 \001(\t\"1\n\nPartsReply\022#\n\005parts\030\001 \003(\0132\024.a" +
-      "nvilpick.peer.Part\"\032\n\010Rejected\022\016\n\006reason" +
-      "\030\001 \001(\tB%\n\026io.anvilpick.peer.wireB\tPeerPr" +
-      "otoP\000b\006proto3"
+      ".anvilpick.peer.AcquitH\000\022(\n\006follow\030\013 \001(\013" +
+      "2\026.anvilpick.peer.FollowH\000\022$\n\004done\030\024 \001(\013" +
+      "2\024.anvilpick.peer.DoneH\000\022&\n\005voted\030\025 \001(\0132" +
+      "\025.anvilpick.peer.VotedH\000\022(\n\006sealed\030\026 \001(\013" +
+      "2\026.anvilpick.peer.SealedH\000\022.\n\tinstalled\030" +
+      "\027 \001(\0132\031.anvilpick.peer.InstalledH\000\0223\n\014go" +
+      "ssip_reply\030\030 \001(\0132\033.anvilpick.peer.Gossip" +
+      "ReplyH\000\0221\n\013parts_reply\030\031 \001(\0132\032.anvilpick" +
+      ".peer.PartsReplyH\000\022,\n\010rejected\030\032 \001(\0132\030.a" +
+      "nvilpick.peer.RejectedH\000\022,\n\010followed\030\033 \001" +
+      "(\0132\030.anvilpick.peer.FollowedH\000B\006\n\004body\"\027" +
+      "\n\006Follow\022\r\n\005after\030\001 \001(\003\"I\n\nStoredItem\022\013\n" +
+      "\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\022\n\005value\030\003 " +
+      "\001(\tH\000\210\001\001B\010\n\006_value\"j\n\010Followed\022\r\n\005whole\030" +
+      "\001 \001(\010\022\020\n\010revision\030\002 \001(\003\022\022\n\nage_millis\030\003 " +
+      "\001(\003\022)\n\005items\030\004 \003(\0132\032.anvilpick.peer.Stor" +
+      "edItem\"8\n\010ClaimKey\022\017\n\007service\030\001 \001(\t\022\016\n\006t" +
+      "enant\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\"@\n\nKeptAnswer\022\016" +
+      "\n\006status\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004" +
+      "body\030\003 \001(\014\"\245\001\n\nClaimState\022-\n\004kind\030\001 \001(\0162" +
+      "\037.anvilpick.peer.ClaimState.Kind\022/\n\006answ" +
+      "er\030\002 \001(\0132\032.anvilpick.peer.KeptAnswerH\000\210\001" +
+      "\001\",\n\004Kind\022\013\n\007RUNNING\020\000\022\010\n\004DONE\020\001\022\r\n\tUNSE" +
+      "TTLED\020\002B\t\n\007_answer\"\263\001\n\005Claim\022%\n\003key\030\001 \001(" +
+      "\0132\030.anvilpick.peer.ClaimKey\022\016\n\006holder\030\002 " +
+      "\001(\t\022\023\n\013fingerprint\030\003 \001(\t\022)\n\005state\030\004 \001(\0132" +
+      "\032.anvilpick.peer.ClaimState\022\031\n\021runs_unti" +
+      "l_millis\030\005 \001(\003\022\030\n\020forget_at_millis\030\006 \001(\003" +
+      "\"O\n\tClaimVote\022\r\n\005group\030\001 \001(\005\022\r\n\005epoch\030\002 " +
+      "\001(\003\022$\n\005claim\030\003 \001(\0132\025.anvilpick.peer.Clai" +
+      "m\"|\n\013ClaimSettle\022\r\n\005group\030\001 \001(\005\022%\n\003key\030\002" +
+      " \001(\0132\030.anvilpick.peer.ClaimKey\022\016\n\006holder" +
+      "\030\003 \001(\t\022\'\n\003end\030\004 \001(\0132\032.anvilpick.peer.Cla" +
+      "imState\"T\n\014ClaimRelease\022\r\n\005group\030\001 \001(\005\022%" +
+      "\n\003key\030\002 \001(\0132\030.anvilpick.peer.ClaimKey\022\016\n" +
+      "\006holder\030\003 \001(\t\"$\n\004Seal\022\r\n\005group\030\001 \001(\005\022\r\n\005" +
+      "epoch\030\002 \001(\003\"a\n\007Install\022\r\n\005group\030\001 \001(\005\022\r\n" +
+      "\005epoch\030\002 \001(\003\022\021\n\tchange_id\030\003 \001(\t\022%\n\006claim" +
+      "s\030\004 \003(\0132\025.anvilpick.peer.Claim\"\203\001\n\006Membe" +
+      "r\022\020\n\010instance\030\001 \001(\t\022\024\n\014call_address\030\002 \001(" +
+      "\t\022\024\n\014peer_address\030\003 \001(\t\022\016\n\006region\030\004 \001(\t\022" +
+      "\014\n\004zone\030\005 \001(\t\022\017\n\007leaving\030\006 \001(\010\022\014\n\004beat\030\007" +
+      " \001(\003\",\n\nMemberBeat\022\020\n\010instance\030\001 \001(\t\022\014\n\004" +
+      "beat\030\002 \001(\003\"b\n\014MemberDigest\022\'\n\007members\030\001 " +
+      "\003(\0132\026.anvilpick.peer.Member\022)\n\005beats\030\002 \003" +
+      "(\0132\032.anvilpick.peer.MemberBeat\"\216\001\n\006Gossi" +
+      "p\022\026\n\016config_version\030\001 \001(\003\022\031\n\021claim_map_v" +
+      "ersion\030\002 \001(\003\022\034\n\024leaving_as_of_millis\030\004 \001" +
+      "(\003\022-\n\007members\030\005 \001(\0132\034.anvilpick.peer.Mem" +
+      "berDigestJ\004\010\003\020\004\"6\n\013LeavingList\022\024\n\014as_of_" +
+      "millis\030\001 \001(\003\022\021\n\taddresses\030\002 \003(\t\"\030\n\005Parts" +
+      "\022\017\n\007digests\030\001 \003(\t\"?\n\005Crash\022\023\n\013fingerprin" +
+      "t\030\001 \001(\t\022\016\n\006target\030\002 \001(\t\022\021\n\tat_millis\030\003 \001" +
+      "(\003\"\035\n\006Acquit\022\023\n\013fingerprint\030\001 \001(\t\"\006\n\004Don" +
+      "e\"\250\001\n\005Voted\022(\n\004kind\030\001 \001(\0162\032.anvilpick.pe" +
+      "er.Voted.Kind\022*\n\006holder\030\002 \001(\0132\025.anvilpic" +
+      "k.peer.ClaimH\000\210\001\001\022\r\n\005epoch\030\003 \001(\003\"/\n\004Kind" +
+      "\022\013\n\007GRANTED\020\000\022\t\n\005TAKEN\020\001\022\017\n\013WRONG_EPOCH\020" +
+      "\002B\t\n\007_holder\"[\n\006Sealed\022\r\n\005group\030\001 \001(\005\022\r\n" +
+      "\005epoch\030\002 \001(\003\022\014\n\004held\030\003 \001(\010\022%\n\006claims\030\004 \003" +
+      "(\0132\025.anvilpick.peer.Claim\"\031\n\tInstalled\022\014" +
+      "\n\004kept\030\001 \001(\010\"-\n\nSignedHead\022\014\n\004head\030\001 \001(\t" +
+      "\022\021\n\tsignature\030\002 \001(\t\"l\n\nClaimGroup\022\r\n\005ind" +
+      "ex\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\021\n\tchange_id\030\003 \001" +
+      "(\t\022\033\n\023trusted_from_millis\030\004 \001(\003\022\020\n\010repli" +
+      "cas\030\005 \003(\t\"G\n\010ClaimMap\022\017\n\007version\030\001 \001(\003\022*" +
+      "\n\006groups\030\002 \003(\0132\032.anvilpick.peer.ClaimGro" +
+      "up\"\254\002\n\013GossipReply\022-\n\004head\030\001 \001(\0132\032.anvil" +
+      "pick.peer.SignedHeadH\000\210\001\001\0220\n\tclaim_map\030\002" +
+      " \001(\0132\030.anvilpick.peer.ClaimMapH\001\210\001\001\022\026\n\016c" +
+      "onfig_version\030\003 \001(\003\022\031\n\021claim_map_version" +
+      "\030\004 \001(\003\0221\n\007leaving\030\006 \001(\0132\033.anvilpick.peer" +
+      ".LeavingListH\002\210\001\001\022-\n\007members\030\007 \001(\0132\034.anv" +
+      "ilpick.peer.MemberDigestB\007\n\005_headB\014\n\n_cl" +
+      "aim_mapB\n\n\010_leavingJ\004\010\005\020\006\"$\n\004Part\022\016\n\006dig" +
+      "est\030\001 \001(\t\022\014\n\004text\030\002 \001(\t\"1\n\nPartsReply\022#\n" +
+      "\005parts\030\001 \003(\0132\024.anvilpick.peer.Part\"\032\n\010Re" +
+      "jected\022\016\n\006reason\030\001 \001(\tB%\n\026io.anvilpick.p" +
+      "eer.wireB\tPeerProtoP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -26449,171 +29167,189 @@
     internal_static_anvilpick_peer_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Envelope_descriptor,
-        new java.lang.String[] { "RequestId", "ClaimVote", "ClaimSettle", "ClaimRelease", "Seal", "Install", "Gossip", "Parts", "Crash", "Acquit", "Done", "Voted", "Sealed", "Installed", "GossipReply", "PartsReply", "Rejected", "Body", });
-    internal_static_anvilpick_peer_ClaimKey_descriptor =
+        new java.lang.String[] { "RequestId", "ClaimVote", "ClaimSettle", "ClaimRelease", "Seal", "Install", "Gossip", "Parts", "Crash", "Acquit", "Follow", "Done", "Voted", "Sealed", "Installed", "GossipReply", "PartsReply", "Rejected", "Followed", "Body", });
+    internal_static_anvilpick_peer_Follow_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_anvilpick_peer_Follow_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_anvilpick_peer_Follow_descriptor,
+        new java.lang.String[] { "After", });
+    internal_static_anvilpick_peer_StoredItem_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_anvilpick_peer_StoredItem_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_anvilpick_peer_StoredItem_descriptor,
+        new java.lang.String[] { "Key", "Revision", "Value", });
+    internal_static_anvilpick_peer_Followed_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_anvilpick_peer_Followed_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_anvilpick_peer_Followed_descriptor,
+        new java.lang.String[] { "Whole", "Revision", "AgeMillis", "Items", });
+    internal_static_anvilpick_peer_ClaimKey_descriptor =
+      getDescriptor().getMessageType(4);
     internal_static_anvilpick_peer_ClaimKey_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimKey_descriptor,
         new java.lang.String[] { "Service", "Tenant", "Key", });
     internal_static_anvilpick_peer_KeptAnswer_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(5);
     internal_static_anvilpick_peer_KeptAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_KeptAnswer_descriptor,
         new java.lang.String[] { "Status", "ContentType", "Body", });
     internal_static_anvilpick_peer_ClaimState_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(6);
     internal_static_anvilpick_peer_ClaimState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimState_descriptor,
         new java.lang.String[] { "Kind", "Answer", });
     internal_static_anvilpick_peer_Claim_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(7);
     internal_static_anvilpick_peer_Claim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Claim_descriptor,
         new java.lang.String[] { "Key", "Holder", "Fingerprint", "State", "RunsUntilMillis", "ForgetAtMillis", });
     internal_static_anvilpick_peer_ClaimVote_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(8);
     internal_static_anvilpick_peer_ClaimVote_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimVote_descriptor,
         new java.lang.String[] { "Group", "Epoch", "Claim", });
     internal_static_anvilpick_peer_ClaimSettle_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(9);
     internal_static_anvilpick_peer_ClaimSettle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimSettle_descriptor,
         new java.lang.String[] { "Group", "Key", "Holder", "End", });
     internal_static_anvilpick_peer_ClaimRelease_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(10);
     internal_static_anvilpick_peer_ClaimRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimRelease_descriptor,
         new java.lang.String[] { "Group", "Key", "Holder", });
     internal_static_anvilpick_peer_Seal_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(11);
     internal_static_anvilpick_peer_Seal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Seal_descriptor,
         new java.lang.String[] { "Group", "Epoch", });
     internal_static_anvilpick_peer_Install_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(12);
     internal_static_anvilpick_peer_Install_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Install_descriptor,
         new java.lang.String[] { "Group", "Epoch", "ChangeId", "Claims", });
     internal_static_anvilpick_peer_Member_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(13);
     internal_static_anvilpick_peer_Member_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Member_descriptor,
         new java.lang.String[] { "Instance", "CallAddress", "PeerAddress", "Region", "Zone", "Leaving", "Beat", });
     internal_static_anvilpick_peer_MemberBeat_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(14);
     internal_static_anvilpick_peer_MemberBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_MemberBeat_descriptor,
         new java.lang.String[] { "Instance", "Beat", });
     internal_static_anvilpick_peer_MemberDigest_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(15);
     internal_static_anvilpick_peer_MemberDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_MemberDigest_descriptor,
         new java.lang.String[] { "Members", "Beats", });
     internal_static_anvilpick_peer_Gossip_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(16);
     internal_static_anvilpick_peer_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Gossip_descriptor,
         new java.lang.String[] { "ConfigVersion", "ClaimMapVersion", "LeavingAsOfMillis", "Members", });
     internal_static_anvilpick_peer_LeavingList_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(17);
     internal_static_anvilpick_peer_LeavingList_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_LeavingList_descriptor,
         new java.lang.String[] { "AsOfMillis", "Addresses", });
     internal_static_anvilpick_peer_Parts_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(18);
     internal_static_anvilpick_peer_Parts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Parts_descriptor,
         new java.lang.String[] { "Digests", });
     internal_static_anvilpick_peer_Crash_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(19);
     internal_static_anvilpick_peer_Crash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Crash_descriptor,
         new java.lang.String[] { "Fingerprint", "Target", "AtMillis", });
     internal_static_anvilpick_peer_Acquit_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(20);
     internal_static_anvilpick_peer_Acquit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Acquit_descriptor,
         new java.lang.String[] { "Fingerprint", });
     internal_static_anvilpick_peer_Done_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(21);
     internal_static_anvilpick_peer_Done_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Done_descriptor,
         new java.lang.String[] { });
     internal_static_anvilpick_peer_Voted_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(22);
     internal_static_anvilpick_peer_Voted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Voted_descriptor,
         new java.lang.String[] { "Kind", "Holder", "Epoch", });
     internal_static_anvilpick_peer_Sealed_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(23);
     internal_static_anvilpick_peer_Sealed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Sealed_descriptor,
         new java.lang.String[] { "Group", "Epoch", "Held", "Claims", });
     internal_static_anvilpick_peer_Installed_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(24);
     internal_static_anvilpick_peer_Installed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Installed_descriptor,
         new java.lang.String[] { "Kept", });
     internal_static_anvilpick_peer_SignedHead_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(25);
     internal_static_anvilpick_peer_SignedHead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_SignedHead_descriptor,
         new java.lang.String[] { "Head", "Signature", });
     internal_static_anvilpick_peer_ClaimGroup_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(26);
     internal_static_anvilpick_peer_ClaimGroup_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimGroup_descriptor,
         new java.lang.String[] { "Index", "Epoch", "ChangeId", "TrustedFromMillis", "Replicas", });
     internal_static_anvilpick_peer_ClaimMap_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(27);
     internal_static_anvilpick_peer_ClaimMap_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimMap_descriptor,
         new java.lang.String[] { "Version", "Groups", });
     internal_static_anvilpick_peer_GossipReply_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(28);
     internal_static_anvilpick_peer_GossipReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_GossipReply_descriptor,
         new java.lang.String[] { "Head", "ClaimMap", "ConfigVersion", "ClaimMapVersion", "Leaving", "Members", });
     internal_static_anvilpick_peer_Part_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(29);
     internal_static_anvilpick_peer_Part_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Part_descriptor,
         new java.lang.String[] { "Digest", "Text", });
     internal_static_anvilpick_peer_PartsReply_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(30);
     internal_static_anvilpick_peer_PartsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_PartsReply_descriptor,
         new java.lang.String[] { "Parts", });
     internal_static_anvilpick_peer_Rejected_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(31);
     internal_static_anvilpick_peer_Rejected_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Rejected_descriptor,
