Daemons tell each other of requests that crash targets

Cause: each daemon counted the crashes of a request alone, so a caller that repeated at other daemons crashed two targets at each.

Change: the report of a crash goes to all daemons known, over the inner protocol; two reports from anywhere block the request. EntryPeers holds what daemons tell each other, Repeated what they do again and again; the daemon's class is shorter by both.

--- a/anvilpick-core/src/main/java/io/anvilpick/entry/LocalCrashWatch.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/SharedCrashWatch.java
@@ -11,20 +11,30 @@
 import io.anvilpick.error.ErrorKind;
 import io.anvilpick.time.TimeSource;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 
-/** Blocks requests that crashed targets, as far as this daemon has seen it. Thread safe. */
-public final class LocalCrashWatch implements CrashWatch {
-    private static final Logger LOG = Logger.getLogger(LocalCrashWatch.class);
+/** Blocks requests that crashed targets, by what this daemon and others have seen. Thread safe. */
+public final class SharedCrashWatch implements CrashWatch {
+    private static final Logger LOG = Logger.getLogger(SharedCrashWatch.class);
 
     private final CrashLedger ledger;
     private final TargetClient targets;
+    private final Consumer<CrashReport> tellOthers;
     private final TimeSource time;
 
-    /** Creates a watch that looks at targets through {@code targets}. */
-    public LocalCrashWatch(CrashLedger ledger, TargetClient targets, TimeSource time) {
+    /**
+     * Creates a watch.
+     *
+     * @param ledger takes the reports of other daemons too
+     * @param targets looks whether a target still listens
+     * @param tellOthers tells the other daemons of a crash; must not block
+     */
+    public SharedCrashWatch(
+            CrashLedger ledger, TargetClient targets, Consumer<CrashReport> tellOthers, TimeSource time) {
         this.ledger = ledger;
         this.targets = targets;
+        this.tellOthers = tellOthers;
         this.time = time;
     }
 
@@ -43,6 +53,7 @@
         targets.isListening(target).thenAccept(listening -> {
             if (!listening && ledger.add(report)) {
                 LOG.warnf("event=crash_suspected target=%s path=%s", target.id(), request.path());
+                tellOthers.accept(report);
             }
         });
         return CompletableFuture.completedFuture(null);
--- a/anvilpick-core/src/test/java/io/anvilpick/entry/EntryCallsTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/entry/EntryCallsTest.java
@@ -8,6 +8,7 @@
 import io.anvilpick.calls.Sender;
 import io.anvilpick.calls.TargetReply;
 import io.anvilpick.crashes.CrashLedger;
+import io.anvilpick.crashes.CrashReport;
 import io.anvilpick.error.AnswerTable;
 import io.anvilpick.error.CallException;
 import io.anvilpick.error.ErrorKind;
@@ -18,6 +19,7 @@
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.ManualTimeSource;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -30,7 +32,9 @@
     private final FakeTargetClient targets = new FakeTargetClient();
     private final EntryDispatchers dispatchers = new EntryDispatchers(time, () -> new SplittableRandom(3), BUDGET, "z");
     private final FleetState state = new FleetState(time, dispatchers::update);
-    private final LocalCrashWatch crashes = new LocalCrashWatch(new CrashLedger(time), targets, time);
+    private final CrashLedger ledger = new CrashLedger(time);
+    private final List<CrashReport> told = new ArrayList<>();
+    private final SharedCrashWatch crashes = new SharedCrashWatch(ledger, targets, told::add, time);
     private final EntryEvents events = new EntryEvents(new NoCounts(), time);
     private final EntryCalls calls = new EntryCalls(new EntryCalls.Parts(
             state::view,
@@ -198,6 +202,19 @@
         assertEquals(ErrorKind.CRASHING_REQUEST, failure("/read/1"));
         assertEquals(List.of(), targets.sentTo);
         assertEquals(200, status("/read/2"));
+        assertEquals(2, told.size());
+    }
+
+    @Test
+    void aRequestThatCrashedTargetsOfOtherDaemonsIsBlocked() throws Exception {
+        configure("a", "b", "c");
+        targets.listening = false;
+        targets.replies.add(new TargetReply.Lost("reset"));
+        failure("/pay/1");
+        ledger.add(new CrashReport(told.getFirst().fingerprint(), "10.0.0.9:80", 1));
+        targets.sentTo.clear();
+        assertEquals(ErrorKind.CRASHING_REQUEST, failure("/pay/1"));
+        assertEquals(List.of(), targets.sentTo);
     }
 
     /** Counts nothing. */
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.net.HostAndPort;
 import com.linecorp.armeria.common.CommonPools;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
@@ -20,7 +19,7 @@
 import io.anvilpick.entry.EntryCalls;
 import io.anvilpick.entry.EntryDispatchers;
 import io.anvilpick.entry.EntryEvents;
-import io.anvilpick.entry.LocalCrashWatch;
+import io.anvilpick.entry.SharedCrashWatch;
 import io.anvilpick.fleet.AddressBook;
 import io.anvilpick.fleet.FleetDecoder;
 import io.anvilpick.fleet.FleetFollower;
@@ -31,9 +30,6 @@
 import io.anvilpick.fleet.MembershipKeeper;
 import io.anvilpick.fleet.RelayLog;
 import io.anvilpick.limits.HeldBytes;
-import io.anvilpick.messages.FollowRequest;
-import io.anvilpick.messages.PeerReply;
-import io.anvilpick.messages.PeerRequest;
 import io.anvilpick.peer.PeerClient;
 import io.anvilpick.peer.PeerServer;
 import io.anvilpick.time.TimeSource;
@@ -81,7 +77,7 @@
     private final EntryDispatchers dispatchers;
     private final FleetState state;
     private final FleetFollower follower;
-    private final RelayLog relayLog;
+    private final EntryPeers peers;
     private final EventLoopGroup loops = CommonPools.workerGroup();
     private final MembershipKeeper keeper;
     private final AddressBook addresses;
@@ -95,13 +91,16 @@
         this.dispatchers = new EntryDispatchers(
                 time, SplittableRandom::new, first.extraCalls(), first.self().zone());
         this.state = new FleetState(time, dispatchers::update);
-        this.relayLog = new RelayLog(time);
-        FleetRelays relays = new FleetRelays(new PeerClient(loops, time), state::view, first.self(), time);
+        RelayLog relayLog = new RelayLog(time);
+        PeerClient others = new PeerClient(loops, time);
+        CrashLedger crashes = new CrashLedger(time);
+        this.peers = new EntryPeers(new EntryPeers.Parts(others, state::view, first.self(), relayLog, crashes, time));
+        FleetRelays relays = new FleetRelays(others, state::view, first.self(), time);
         this.follower = FleetFollower.of(new FleetFollower.Parts(
                 store, checkNotNull(builder.decoder, "decoder"), state, relayLog, relays, time));
         this.keeper = new MembershipKeeper(store, state, first.self());
         this.addresses = new AddressBook(state::view, first.self());
-        this.server = newServer(builder, callsThrough(headers), headers);
+        this.server = newServer(builder, callsThrough(headers, crashes), headers);
         registerGauges();
     }
 
@@ -110,9 +109,9 @@
         return new Builder();
     }
 
-    private EntryCalls callsThrough(TargetHeaders headers) {
+    private EntryCalls callsThrough(TargetHeaders headers, CrashLedger ledger) {
         NettyTargetClient targets = new NettyTargetClient(loops, headers, time);
-        LocalCrashWatch crashes = new LocalCrashWatch(new CrashLedger(time), targets, time);
+        SharedCrashWatch crashes = new SharedCrashWatch(ledger, targets, peers::tell, time);
         EntryEvents events = new EntryEvents(metrics, time);
         Sender sender = new Sender(
                 targets, crashes, events, time, (nanos, action) -> loops.schedule(action, nanos, TimeUnit.NANOSECONDS));
@@ -156,55 +155,20 @@
 
     /** Starts to follow the store and to listen; blocks until the daemon listens. */
     public void start() throws InterruptedException {
-        repeat("follower", follower::step);
+        Repeated.start("follower", follower::step);
         server.start().join();
-        PeerServer.listen(loops, peerAddress(), this::answerPeer);
+        PeerServer.listen(loops, peers.address(), peers);
         EntrySettings first = settings.current();
         LOG.infof(
                 "event=started name=%s zone=%s calls=%s metrics=%s",
                 first.self().name(), first.self().zone(), first.callAddress(), first.metricsAddress());
-        repeat("membership", keeper::step);
-        repeat("expiry", () -> {
+        Repeated.start("membership", keeper::step);
+        Repeated.start("expiry", () -> {
             state.expire();
             return EXPIRY_EVERY;
         });
     }
 
-    private InetSocketAddress peerAddress() {
-        HostAndPort address = HostAndPort.fromString(settings.current().self().peerAddress());
-        return new InetSocketAddress(address.getHost(), address.getPort());
-    }
-
-    private PeerReply answerPeer(PeerRequest request) {
-        if (!(request instanceof FollowRequest follow)) {
-            return new PeerReply.Rejected("request: this daemon answers only those who follow the store");
-        }
-        return relayLog.after(follow.after())
-                .<PeerReply>map(PeerReply.Followed::new)
-                .orElseGet(() -> new PeerReply.Rejected("follow: nothing has been read yet"));
-    }
-
-    /** A step of what the daemon does again and again; returns how long to pause. */
-    @FunctionalInterface
-    private interface Step {
-        Duration run() throws InterruptedException;
-    }
-
-    private void repeat(String name, Step step) {
-        Thread.ofVirtual().name(name).start(() -> {
-            try {
-                while (true) {
-                    Thread.sleep(step.run());
-                }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                LOG.warnf("event=loop_ended name=%s", name);
-            } catch (RuntimeException e) {
-                LOG.errorf(e, "event=loop_fault name=%s error=%s", name, e);
-            }
-        });
-    }
-
     /** Goes by {@code next} from now on, as far as a running daemon can; calls in flight are not touched. */
     public void reload(EntrySettings next) {
         dispatchers.spend(settings.change(next).extraCalls());
--- /dev/null
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryPeersTest.java
@@ -0,0 +1,72 @@
+package io.anvilpick.daemon.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.anvilpick.crashes.CrashLedger;
+import io.anvilpick.crashes.CrashReport;
+import io.anvilpick.crashes.Verdict;
+import io.anvilpick.fleet.EntryMember;
+import io.anvilpick.fleet.FleetView;
+import io.anvilpick.fleet.RelayLog;
+import io.anvilpick.messages.AcquitRequest;
+import io.anvilpick.messages.CrashRequest;
+import io.anvilpick.messages.FollowRequest;
+import io.anvilpick.messages.PeerException;
+import io.anvilpick.messages.PeerReply;
+import io.anvilpick.messages.PeerRequest;
+import io.anvilpick.time.Deadline;
+import io.anvilpick.time.ManualTimeSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class EntryPeersTest {
+    private static final EntryMember SELF = new EntryMember("b", "b:80", "b:81", "r", "z");
+    private static final EntryMember OTHER = new EntryMember("a", "a:80", "a:81", "r", "z");
+    private static final CrashReport REPORT = new CrashReport("print", "t:1", 0);
+
+    private final ManualTimeSource time = ManualTimeSource.startingAt(0);
+    private final CrashLedger crashes = new CrashLedger(time);
+    private final List<String> asked = new ArrayList<>();
+    private final EntryPeers peers = new EntryPeers(
+            new EntryPeers.Parts(this::ask, EntryPeersTest::view, SELF, new RelayLog(time), crashes, time));
+
+    private static FleetView view() {
+        return new FleetView(Optional.empty(), ImmutableMap.of(), ImmutableList.of(SELF, OTHER));
+    }
+
+    private CompletableFuture<PeerReply> ask(String address, PeerRequest request, Deadline deadline) {
+        asked.add(address + " " + request);
+        return CompletableFuture.failedFuture(new PeerException("silent", false));
+    }
+
+    @Test
+    void tellsTheOthersOfACrashAndGoesOnIfTheyAreSilent() {
+        peers.tell(REPORT);
+        assertEquals(List.of("a:81 " + new CrashRequest(REPORT)), asked);
+    }
+
+    @Test
+    void countsTheCrashesThatOthersTellOf() {
+        assertInstanceOf(PeerReply.Done.class, peers.handle(new CrashRequest(REPORT)));
+        assertInstanceOf(PeerReply.Done.class, peers.handle(new CrashRequest(REPORT)));
+        assertEquals(Verdict.SUSPECT, crashes.verdict("print"));
+        peers.handle(new CrashRequest(new CrashReport("print", "t:2", 0)));
+        assertEquals(Verdict.BLOCKED, crashes.verdict("print"));
+    }
+
+    @Test
+    void refusesToTellOfTheStoreBeforeItHasReadIt() {
+        assertInstanceOf(PeerReply.Rejected.class, peers.handle(new FollowRequest(-1)));
+    }
+
+    @Test
+    void refusesWhatOnlyDaemonsWithClaimsServe() {
+        assertInstanceOf(PeerReply.Rejected.class, peers.handle(new AcquitRequest("print")));
+    }
+}
--- a/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
+++ b/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
@@ -19,6 +19,9 @@
 import io.anvilpick.claims.Vote;
 import io.anvilpick.config.SignedHead;
 import io.anvilpick.crashes.CrashReport;
+import io.anvilpick.fleet.FleetUpdate;
+import io.anvilpick.fleet.RelayedUpdate;
+import io.anvilpick.fleet.StoredItem;
 import io.anvilpick.membership.LeavingList;
 import io.anvilpick.membership.Member;
 import io.anvilpick.membership.MemberBeat;
@@ -28,6 +31,7 @@
 import io.anvilpick.messages.ClaimSettleRequest;
 import io.anvilpick.messages.ClaimVoteRequest;
 import io.anvilpick.messages.CrashRequest;
+import io.anvilpick.messages.FollowRequest;
 import io.anvilpick.messages.GossipRequest;
 import io.anvilpick.messages.InstallRequest;
 import io.anvilpick.messages.PartsRequest;
@@ -35,6 +39,7 @@
 import io.anvilpick.messages.PeerRequest;
 import io.anvilpick.messages.SealRequest;
 import io.anvilpick.peer.wire.PeerProto;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.ForAll;
@@ -59,7 +64,8 @@
             new GossipRequest(1, 2, 3, DIGEST),
             new PartsRequest(ImmutableSet.of("a", "b")),
             new CrashRequest(new CrashReport("print", "t:1", 5)),
-            new AcquitRequest("print"));
+            new AcquitRequest("print"),
+            new FollowRequest(-1));
 
     private static final List<PeerReply> REPLIES = List.of(
             new PeerReply.Done(),
@@ -76,6 +82,12 @@
                     3,
                     DIGEST),
             new PeerReply.Parts(ImmutableMap.of("digest", "text")),
+            new PeerReply.Followed(new RelayedUpdate(
+                    new FleetUpdate.Whole(ImmutableList.of(new StoredItem("a", 3, Optional.of("text"))), 4),
+                    Duration.ofMillis(5))),
+            new PeerReply.Followed(new RelayedUpdate(
+                    new FleetUpdate.Changes(ImmutableList.of(new StoredItem("a", 5, Optional.empty())), 6),
+                    Duration.ZERO)),
             new PeerReply.Rejected("reason"));
 
     @Test
