--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetFollower.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetFollower.java
@@ -113,7 +113,9 @@
     private Duration askStore(boolean onlyForNow) throws InterruptedException {
         Duration longest = onlyForNow && wait.equals(LONGEST_WAIT) ? WAIT_WITHOUT_RELAY : wait;
         try {
-            FleetUpdate update = following ? store.awaitChanges(revision, longest) : store.readAll();
+            FleetStore.Reading reading =
+                    revision == NOTHING_READ ? FleetStore.Reading.MAY_BE_OLD : FleetStore.Reading.LATEST;
+            FleetUpdate update = following ? store.awaitChanges(revision, longest) : store.readAll(reading);
             state.noteStoreAnswered();
             wait = LONGEST_WAIT;
             pauseAfterFailure = FIRST_PAUSE_AFTER_FAILURE;
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetStore.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetStore.java
@@ -8,8 +8,16 @@
  * thread safe.
  */
 public interface FleetStore {
+    /** How fresh a reading of the whole store has to be. */
+    enum Reading {
+        /** All that was written before the call. */
+        LATEST,
+        /** May lack the last seconds, and costs the store less; {@link #awaitChanges} brings the rest. */
+        MAY_BE_OLD
+    }
+
     /** Returns all that the store holds. */
-    FleetUpdate.Whole readAll() throws PlatformException;
+    FleetUpdate.Whole readAll(Reading reading) throws PlatformException;
 
     /** Waits for changes after {@code revision}, {@code wait} at most. */
     FleetUpdate awaitChanges(long revision, Duration wait) throws PlatformException;
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FakeStore.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FakeStore.java
@@ -43,8 +43,8 @@
     }
 
     @Override
-    public FleetUpdate.Whole readAll() throws PlatformException {
-        call("readAll");
+    public FleetUpdate.Whole readAll(Reading reading) throws PlatformException {
+        call(reading == Reading.LATEST ? "readLatest" : "readAll");
         return new FleetUpdate.Whole(held, 10);
     }
 
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FollowingTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FollowingTest.java
@@ -45,7 +45,7 @@
         store.updates.add(new FleetUpdate.HistoryLost());
         follower.step();
         follower.step();
-        assertEquals(List.of("readAll", "await 10", "readAll"), store.calls);
+        assertEquals(List.of("readAll", "await 10", "readLatest"), store.calls);
     }
 
     @Test
