Following has a package of its own

Cause: packagesHaveNoCycles: the package of the fleet asked peers by messages that carry the fleet's records.

Change: follower, relays and membership move to io.anvilpick.following with their tests; no behaviour changes. ArchitectureTest passes.

--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/RelayLog.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/RelayLog.java
@@ -37,7 +37,7 @@
     }
 
     /** Starts anew with all that the store held when it was read, {@code age} ago. */
-    void replaceAll(Map<StoredItem, ImmutableList<FleetChange>> items, long at, Duration age) {
+    public void replaceAll(Map<StoredItem, ImmutableList<FleetChange>> items, long at, Duration age) {
         lock.lock();
         try {
             held.clear();
@@ -52,7 +52,7 @@
     }
 
     /** Adds changes up to revision {@code at}, read {@code age} ago. */
-    void add(Map<StoredItem, ImmutableList<FleetChange>> items, long at, Duration age) {
+    public void add(Map<StoredItem, ImmutableList<FleetChange>> items, long at, Duration age) {
         lock.lock();
         try {
             items.forEach(this::add);
@@ -63,7 +63,7 @@
     }
 
     /** Notes that the store answered another call just now, so that nothing new is on its way. */
-    void noteHeard() {
+    public void noteHeard() {
         lock.lock();
         try {
             readAtNanos = time.nanos();
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/package-info.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/package-info.java
@@ -1,7 +1,4 @@
-/**
- * What a daemon believes of configuration, registered targets and other daemons, and how it follows the store that holds
- * them.
- */
+/** What a daemon believes of configuration, registered targets and other daemons, and what it passes on of them. */
 @NullMarked
 package io.anvilpick.fleet;
 
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetFollower.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/following/FleetFollower.java
@@ -1,8 +1,17 @@
-package io.anvilpick.fleet;
+package io.anvilpick.following;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Iterables;
+import io.anvilpick.fleet.EntryMember;
+import io.anvilpick.fleet.FleetChange;
+import io.anvilpick.fleet.FleetDecoder;
+import io.anvilpick.fleet.FleetState;
+import io.anvilpick.fleet.FleetStore;
+import io.anvilpick.fleet.FleetUpdate;
+import io.anvilpick.fleet.RelayLog;
+import io.anvilpick.fleet.RelayedUpdate;
+import io.anvilpick.fleet.StoredItem;
 import io.anvilpick.platform.PlatformException;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetRelays.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/following/FleetRelays.java
@@ -1,8 +1,11 @@
-package io.anvilpick.fleet;
+package io.anvilpick.following;
 
 import static java.util.Comparator.comparing;
 
 import com.google.common.collect.ImmutableList;
+import io.anvilpick.fleet.EntryMember;
+import io.anvilpick.fleet.FleetView;
+import io.anvilpick.fleet.RelayedUpdate;
 import io.anvilpick.messages.FollowRequest;
 import io.anvilpick.messages.PeerReply;
 import io.anvilpick.messages.Peers;
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/MembershipKeeper.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/following/MembershipKeeper.java
@@ -1,5 +1,9 @@
-package io.anvilpick.fleet;
+package io.anvilpick.following;
 
+import io.anvilpick.fleet.EntryMember;
+import io.anvilpick.fleet.FleetState;
+import io.anvilpick.fleet.FleetStore;
+import io.anvilpick.fleet.RelayLog;
 import io.anvilpick.platform.PlatformException;
 import java.time.Duration;
 import org.jboss.logging.Logger;
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FakePeers.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/following/FakePeers.java
@@ -1,5 +1,6 @@
-package io.anvilpick.fleet;
+package io.anvilpick.following;
 
+import io.anvilpick.fleet.RelayLog;
 import io.anvilpick.messages.FollowRequest;
 import io.anvilpick.messages.PeerException;
 import io.anvilpick.messages.PeerReply;
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FakeStore.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/following/FakeStore.java
@@ -1,6 +1,12 @@
-package io.anvilpick.fleet;
+package io.anvilpick.following;
 
 import com.google.common.collect.ImmutableList;
+import io.anvilpick.fleet.EntryMember;
+import io.anvilpick.fleet.FleetChange;
+import io.anvilpick.fleet.FleetDecoder;
+import io.anvilpick.fleet.FleetStore;
+import io.anvilpick.fleet.FleetUpdate;
+import io.anvilpick.fleet.StoredItem;
 import io.anvilpick.platform.PlatformException;
 import java.time.Duration;
 import java.util.ArrayDeque;
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FollowingTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/following/FollowingTest.java
@@ -1,4 +1,4 @@
-package io.anvilpick.fleet;
+package io.anvilpick.following;
 
 import static io.anvilpick.fleet.FleetSamples.member;
 import static io.anvilpick.fleet.FleetSamples.target;
@@ -6,6 +6,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import io.anvilpick.fleet.AddressBook;
+import io.anvilpick.fleet.EntryMember;
+import io.anvilpick.fleet.FleetChange;
+import io.anvilpick.fleet.FleetState;
+import io.anvilpick.fleet.FleetUpdate;
+import io.anvilpick.fleet.RelayLog;
 import io.anvilpick.time.ManualTimeSource;
 import java.time.Duration;
 import java.util.List;
