Requests keep off connections that targets have forgotten

A probe over such a connection counted as unanswered and ejected a healthy target.

Change: a probe lost on a used connection is sent anew over a new one. The log says how long a lost request's connection had rested. Tests: three in NettyTargetClientTest, one of them for the time limit of an exchange.

--- a/anvilpick-core/src/main/java/io/anvilpick/routing/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routing/Dispatcher.java
@@ -12,7 +12,6 @@
 import io.anvilpick.limits.ExtraCallBudget;
 import io.anvilpick.limits.ShareBudget;
 import io.anvilpick.time.TimeSource;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -41,8 +40,9 @@
     private final ExtraCallBudget hedges;
     private final HeldCalls held = new HeldCalls();
 
-    private final Map<String, ClassBaseline> baselines = new HashMap<>();
+    private final Baselines baselines = new Baselines();
     private final TargetSet targets;
+    private final CallOutcomes outcomes;
     private @Nullable Configuration configuration;
     private long nextAssignmentId;
 
@@ -52,6 +52,7 @@
         this.retries = builder.retries;
         this.hedges = builder.hedges;
         this.targets = new TargetSet(new TargetPicker(policy, checkNotNull(builder.random, "random")), policy, time);
+        this.outcomes = new CallOutcomes(targets, baselines);
     }
 
     /** Returns a builder. */
@@ -214,7 +215,7 @@
             long now = time.nanos();
             TargetState target = targets.find(assignment.target().id());
             if (target != null && target.finish(assignment)) {
-                apply(target, assignment, result, now);
+                outcomes.note(target, assignment, result, now);
             }
             return drain(now);
         } finally {
@@ -246,7 +247,7 @@
     public long hedgeDelayNanos(RequestConfig request) {
         lock.lock();
         try {
-            ClassBaseline baseline = baseline(request);
+            ClassBaseline baseline = baselines.of(request);
             return policy.hedgeDelayNanos(baseline.medianNanos(), baseline.hedgeDelayNanos());
         } finally {
             lock.unlock();
@@ -376,46 +377,8 @@
         return new TargetPicker.Wanted(now, call.goal(), baselineNanos(call.request()), queued);
     }
 
-    private void apply(TargetState target, Assignment assignment, CallResult result, long now) {
-        RequestConfig request = assignment.call().request();
-        long elapsed = now - assignment.startedNanos();
-        long before = baselineNanos(request);
-        switch (result) {
-            case CallResult.Answered answered -> {
-                if (answered.failed()) {
-                    answered.load().ifPresent(report -> target.onReport(now, report));
-                    target.onFailure(now, false, targets.mayEjectMore());
-                } else {
-                    baseline(request).add(elapsed);
-                    if (before > 0) {
-                        targets.learn(target, assignment, (double) elapsed / before);
-                    }
-                    target.onAnswer(now, elapsed, before, answered.load());
-                }
-                if (answered.leaving()) {
-                    target.onDraining(now);
-                }
-            }
-            case CallResult.Shed shed -> {
-                target.onShed();
-                target.onFailure(now, false, targets.mayEjectMore());
-                if (shed.leaving()) {
-                    target.onDraining(now);
-                }
-            }
-            case CallResult.ConnectFailed ignored -> target.onFailure(now, true, true);
-            case CallResult.Lost ignored -> target.onFailure(now, true, true);
-            case CallResult.TimedOut ignored -> target.onSilence(now, elapsed, before);
-            case CallResult.Cancelled ignored -> target.onSilence(now, elapsed, before);
-        }
-    }
-
-    private ClassBaseline baseline(RequestConfig request) {
-        return baselines.computeIfAbsent(request.name(), name -> new ClassBaseline());
-    }
-
     private long baselineNanos(RequestConfig request) {
-        return baseline(request).medianNanos();
+        return baselines.medianNanos(request);
     }
 
     /** Builds a {@link Dispatcher}. Not thread safe. */
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/connections/ConnectionPool.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/connections/ConnectionPool.java
@@ -12,14 +12,31 @@
     private static final int SHARDS = 16;
     private static final int MOST_IDLE_PER_TARGET = 8;
 
+    private final RestLimit restLimit;
     private final Shards<Map<String, Deque<TargetConnection>>> idle = Shards.create(SHARDS, HashMap::new);
 
-    /** Takes the connection that was used last and is still good, if there is one; closes those that are not. */
+    ConnectionPool(RestLimit restLimit) {
+        this.restLimit = restLimit;
+    }
+
+    /** Returns what is known of how long connections may rest. */
+    RestLimit restLimit() {
+        return restLimit;
+    }
+
+    /**
+     * Takes the connection that was used last and is still good, if there is one; closes those that are not.
+     *
+     * @param surely whether one that its target may have forgotten is left where it is
+     */
     @Nullable
-    TargetConnection take(String address) {
+    TargetConnection take(String address, boolean surely) {
         return idle.withShardOf(address, shard -> {
             Deque<TargetConnection> connections = shard.get(address);
             while (connections != null && !connections.isEmpty()) {
+                if (surely && restLimit.isOver(connections.peek().rested())) {
+                    return null;
+                }
                 TargetConnection connection = connections.pop();
                 if (connection.isUsable()) {
                     return connection;
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/connections/NettyTargetClient.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/connections/NettyTargetClient.java
@@ -39,7 +39,7 @@
     private final Bootstrap bootstrap;
     private final TargetHeaders names;
     private final TimeSource time;
-    private final ConnectionPool pool = new ConnectionPool();
+    private final ConnectionPool pool;
     private final EventLoopGroup loops;
 
     /** Probes on their way, by address, so that calls that arrive together share them. */
@@ -50,6 +50,7 @@
         this.loops = threads;
         this.names = names;
         this.time = time;
+        this.pool = new ConnectionPool(new RestLimit(time));
         this.bootstrap = new Bootstrap()
                 .group(threads)
                 .channel(NioSocketChannel.class)
@@ -88,13 +89,26 @@
     public CompletableFuture<ProbeReply> probe(TargetConfig target, String path) {
         return probes.computeIfAbsent(target.address(), address -> {
             PendingExchange exchange = PendingExchange.probe(target, path, Deadline.after(time, PROBE_TIMEOUT));
-            CompletableFuture<ProbeReply> report = exchange.reply().thenApply(NettyTargetClient::probeReplyOf);
+            CompletableFuture<ProbeReply> report = exchange.reply()
+                    .thenCompose(reply -> probedAnew(exchange, reply))
+                    .thenApply(NettyTargetClient::probeReplyOf);
             report.whenComplete((told, failure) -> loops.execute(() -> probes.remove(address)));
             sendOnIdle(exchange);
             return report;
         });
     }
 
+    /** A target that has forgotten a connection is well; only a new connection shows how it is. */
+    private CompletableFuture<TargetReply> probedAnew(PendingExchange first, TargetReply reply) {
+        if (!(reply instanceof TargetReply.Lost) || !first.wasOnUsedConnection()) {
+            return CompletableFuture.completedFuture(reply);
+        }
+        PendingExchange second = PendingExchange.probe(
+                first.target(), first.request().path(), first.request().deadline());
+        sendOnNew(second);
+        return second.reply();
+    }
+
     private static ProbeReply probeReplyOf(TargetReply reply) {
         if (!(reply instanceof TargetReply.Answered answered)) {
             return new ProbeReply.Unanswered();
@@ -106,7 +120,7 @@
     }
 
     private void sendOnIdle(PendingExchange exchange) {
-        TargetConnection idle = pool.take(exchange.target().address());
+        TargetConnection idle = pool.take(exchange.target().address(), !exchange.isProbe());
         if (idle == null) {
             sendOnNew(exchange);
             return;
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/connections/PendingExchange.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/connections/PendingExchange.java
@@ -20,6 +20,7 @@
     private final AtomicReference<@Nullable TargetConnection> connection = new AtomicReference<>();
 
     private final boolean probe;
+    private volatile boolean onUsedConnection;
 
     PendingExchange(TargetConfig target, CallRequest request) {
         this(target, request, false);
@@ -59,9 +60,14 @@
         return request;
     }
 
-    /** Notes the connection that carries the exchange. */
-    void carriedBy(TargetConnection carrier) {
+    /** Notes the connection that carries the exchange, and whether it has carried others before. */
+    void carriedBy(TargetConnection carrier, boolean used) {
         connection.set(carrier);
+        onUsedConnection = used;
+    }
+
+    boolean wasOnUsedConnection() {
+        return onUsedConnection;
     }
 
     boolean isDone() {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/connections/TargetConnection.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/connections/TargetConnection.java
@@ -61,6 +61,13 @@
     private Duration idleLimit = USUAL_IDLE_LIMIT;
     private volatile Deadline idleDeadline;
 
+    /** Time of the last answer, or of the making of the connection. */
+    private volatile long quietSinceNanos;
+
+    private boolean used;
+    private Duration restedBefore = Duration.ZERO;
+    private long startedNanos;
+
     TargetConnection(ConnectionPool pool, String address, TargetHeaders names, TimeSource time, AnswerDecoder decoder) {
         this.pool = pool;
         this.address = address;
@@ -68,6 +75,7 @@
         this.time = time;
         this.decoder = decoder;
         this.idleDeadline = Deadline.after(time, USUAL_IDLE_LIMIT);
+        this.quietSinceNanos = time.nanos();
     }
 
     String address() {
@@ -80,6 +88,11 @@
         return current != null && current.channel().isActive() && !idleDeadline.hasPassed(time);
     }
 
+    /** Returns the time since the connection carried its last answer. */
+    Duration rested() {
+        return Duration.ofNanos(time.nanos() - quietSinceNanos);
+    }
+
     void close() {
         ChannelHandlerContext current = context;
         if (current != null) {
@@ -106,12 +119,15 @@
         exchange = next;
         answer = null;
         reusable = false;
-        next.carriedBy(this);
+        restedBefore = rested();
+        startedNanos = time.nanos();
+        next.carriedBy(this, used);
         if (next.isDone()) {
             exchange = null;
             pool.putBack(this);
             return true;
         }
+        used = true;
         decoder.awaitAnswerTo(next.request().method());
         long remaining = next.request().deadline().remainingNanos(time.nanos());
         timeout = current.executor()
@@ -226,6 +242,7 @@
         release();
         TargetReply reply = whole.build();
         if (reusable && reply instanceof TargetReply.Answered) {
+            quietSinceNanos = time.nanos();
             idleDeadline = Deadline.after(time, idleLimit.minus(IDLE_MARGIN));
             pool.putBack(this);
         } else {
@@ -239,9 +256,16 @@
         boolean began = answer != null;
         release();
         current.close();
-        if (ended != null) {
-            ended.end(began ? new TargetReply.Cut(reason) : new TargetReply.Lost(reason));
+        if (ended == null) {
+            return;
+        }
+        if (began) {
+            ended.end(new TargetReply.Cut(reason));
+            return;
         }
+        Duration elapsed = Duration.ofNanos(time.nanos() - startedNanos);
+        pool.restLimit().noteLost(restedBefore, elapsed);
+        ended.end(new TargetReply.Lost("%s/rested_ms=%d".formatted(reason, restedBefore.toMillis())));
     }
 
     private void release() {
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/connections/NettyTargetClientTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/connections/NettyTargetClientTest.java
@@ -15,6 +15,7 @@
 import io.anvilpick.config.TargetConfig;
 import io.anvilpick.routing.LoadReport;
 import io.anvilpick.time.Deadline;
+import io.anvilpick.time.ManualTimeSource;
 import io.anvilpick.time.TimeSource;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -60,7 +61,11 @@
     }
 
     private Exchange start(String id) {
-        return client.send(
+        return start(client, TIME, id);
+    }
+
+    private Exchange start(NettyTargetClient from, TimeSource clock, String id) {
+        return from.send(
                 config(),
                 new CallRequest(
                         "s",
@@ -70,7 +75,7 @@
                         ImmutableList.of(new Header("host", "h.example"), new Header("x-id", id)),
                         "body".getBytes(StandardCharsets.UTF_8),
                         Optional.empty(),
-                        Deadline.after(TIME, Duration.ofSeconds(30)),
+                        Deadline.after(clock, Duration.ofSeconds(30)),
                         0));
     }
 
@@ -228,4 +233,57 @@
         target.then("HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n", ScriptedTarget.After.KEEP);
         assertEquals(new ProbeReply.Untold(), client.probe(config(), "/healthz").join());
     }
+
+    @Test
+    void aProbeOverAConnectionThatTheTargetForgotIsSentAnew() {
+        target.then(answer("1", "a"), ScriptedTarget.After.KEEP);
+        target.then("", ScriptedTarget.After.RESET);
+        target.then("HTTP/1.1 200 OK\r\nx-load: 2,0,4,100\r\ncontent-length: 0\r\n\r\n", ScriptedTarget.After.KEEP);
+        assertEquals("a", bodyOf(send("1")));
+        assertEquals(
+                new ProbeReply.Told(new LoadReport(2, 0, 1)),
+                client.probe(config(), "/healthz").join());
+        assertEquals(2, target.connections.size());
+    }
+
+    @Test
+    void aRequestDoesNotGoOverAConnectionThatRestedAsLongAsOneThatWasForgotten() {
+        ManualTimeSource clock = ManualTimeSource.startingAt(0);
+        NettyTargetClient manual = new NettyTargetClient(LOOPS, NAMES, clock);
+        target.then(answer("1", "a"), ScriptedTarget.After.KEEP);
+        target.then("", ScriptedTarget.After.RESET);
+        target.then(answer("3", "c"), ScriptedTarget.After.KEEP);
+        target.then(answer("4", "d"), ScriptedTarget.After.KEEP);
+        target.then(answer("5", "e"), ScriptedTarget.After.KEEP);
+        assertEquals("a", bodyOf(start(manual, clock, "1").reply().join()));
+        clock.advance(Duration.ofMillis(500));
+        TargetReply.Lost lost = assertInstanceOf(
+                TargetReply.Lost.class, start(manual, clock, "2").reply().join());
+        assertTrue(lost.reason().endsWith("rested_ms=500"), lost.reason());
+        assertEquals("c", bodyOf(start(manual, clock, "3").reply().join()));
+        clock.advance(Duration.ofMillis(500));
+        assertEquals("d", bodyOf(start(manual, clock, "4").reply().join()));
+        clock.advance(Duration.ofMillis(300));
+        assertEquals("e", bodyOf(start(manual, clock, "5").reply().join()));
+        assertEquals(3, target.connections.size());
+    }
+
+    @Test
+    void anAnswerThatDoesNotComeInTimeIsNotAwaited() {
+        target.then("", ScriptedTarget.After.KEEP);
+        Exchange exchange = client.send(
+                config(),
+                new CallRequest(
+                        "s",
+                        "",
+                        "GET",
+                        "/a",
+                        ImmutableList.of(),
+                        new byte[0],
+                        Optional.empty(),
+                        Deadline.after(TIME, Duration.ofMillis(1)),
+                        0));
+        TargetReply reply = exchange.reply().join();
+        assertFalse(reply instanceof TargetReply.Answered, reply.toString());
+    }
 }
