Test: a daemon is ready from its first configuration until it is told to stop

The test starts a whole entry daemon on a store that answers late: 503 before the first configuration, 404 for an unknown path after it, no address once it leaves.

--- /dev/null
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
@@ -0,0 +1,162 @@
+package io.anvilpick.daemon.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.linecorp.armeria.client.WebClient;
+import io.anvilpick.daemon.connections.TargetHeaders;
+import io.anvilpick.entry.SharedBudget;
+import io.anvilpick.fleet.EntryMember;
+import io.anvilpick.fleet.FleetChange;
+import io.anvilpick.fleet.FleetStore;
+import io.anvilpick.fleet.FleetUpdate;
+import io.anvilpick.fleet.StoredItem;
+import io.anvilpick.platform.PlatformException;
+import io.anvilpick.routes.Backend;
+import io.anvilpick.routes.Repetition;
+import io.anvilpick.routes.RequestLimits;
+import io.anvilpick.routes.Route;
+import io.anvilpick.routes.RouteConfiguration;
+import io.anvilpick.routes.RouteTable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class EntryDaemonTest {
+    private static final TargetHeaders NAMES =
+            new TargetHeaders("x-id", "x-left", "x-seal", "x-target", "x-load", "x-not-run");
+    private static final StoredItem ITEM = new StoredItem("c", 1, Optional.of("configuration"));
+    private static final int UNAVAILABLE = 503;
+    private static final int NOT_FOUND = 404;
+
+    private final LateStore store = new LateStore();
+    private final int callPort = freePort();
+    private final EntryDaemon daemon = EntryDaemon.builder()
+            .settings(settings())
+            .store(store)
+            .decoder(item -> ImmutableList.of(new FleetChange.Configured(configuration())))
+            .headers(NAMES)
+            .build();
+
+    EntryDaemonTest() throws IOException {}
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private EntrySettings settings() throws IOException {
+        EntryMember self = new EntryMember("a", "127.0.0.1:" + callPort, "127.0.0.1:" + freePort(), "r", "z");
+        return EntrySettings.builder(self)
+                .callAddress(new InetSocketAddress("127.0.0.1", callPort))
+                .metricsAddress(new InetSocketAddress("127.0.0.1", freePort()))
+                .extraCalls(new SharedBudget(0.2, 10, Duration.ofSeconds(10)))
+                .grace(Duration.ofSeconds(1))
+                .addressesGoodFor(Duration.ofSeconds(2))
+                .build();
+    }
+
+    private static RouteConfiguration configuration() {
+        Route route = new Route(
+                "read",
+                "a.example",
+                "/a/",
+                new Repetition.Harmless(),
+                2_000,
+                600,
+                1,
+                2,
+                ImmutableList.of(new Backend("s", 1)));
+        return new RouteConfiguration(
+                1,
+                RouteTable.of(List.of(route)),
+                ImmutableMap.of("s", new RouteConfiguration.ServiceTraits("/healthz", 10)),
+                new RequestLimits(1_000));
+    }
+
+    private int statusOfUnknownPath() {
+        return WebClient.of("http://127.0.0.1:" + callPort)
+                .get("/nowhere")
+                .aggregate()
+                .join()
+                .status()
+                .code();
+    }
+
+    @Test
+    void isReadyFromItsFirstConfigurationUntilItIsToldToStop() throws Exception {
+        daemon.start();
+        assertFalse(daemon.isReady());
+        assertEquals(UNAVAILABLE, statusOfUnknownPath());
+        store.hasConfiguration.countDown();
+        store.isFollowed.await();
+        assertTrue(daemon.isReady());
+        assertEquals(NOT_FOUND, statusOfUnknownPath());
+        assertEquals(List.of("127.0.0.1:" + callPort), daemon.addressesFor("r", "z"));
+        daemon.shutDown();
+        assertFalse(daemon.isReady());
+        assertEquals(List.of(), daemon.addressesFor("r", "z"));
+    }
+
+    /** A store that holds its first answer back until a test lets it go. */
+    private static final class LateStore implements FleetStore {
+        private final CountDownLatch hasConfiguration = new CountDownLatch(1);
+        private final CountDownLatch isFollowed = new CountDownLatch(1);
+        private final CountDownLatch never = new CountDownLatch(1);
+
+        private static void await(CountDownLatch latch) throws PlatformException {
+            try {
+                latch.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new PlatformException(PlatformException.Effect.UNKNOWN, "interrupted");
+            }
+        }
+
+        @Override
+        public FleetUpdate.Whole readAll(Reading reading) throws PlatformException {
+            await(hasConfiguration);
+            return new FleetUpdate.Whole(ImmutableList.of(ITEM), 1);
+        }
+
+        /** The follower waits for changes once it has taken in what it read. */
+        @Override
+        public FleetUpdate awaitChanges(long revision, Duration wait) throws PlatformException {
+            isFollowed.countDown();
+            await(never);
+            return new FleetUpdate.HistoryLost();
+        }
+
+        @Override
+        public void abortWaiting() {}
+
+        @Override
+        public long grantLease(Duration timeToLive) {
+            return 1;
+        }
+
+        @Override
+        public boolean renewLease(long lease) {
+            return true;
+        }
+
+        @Override
+        public void endLease(long lease) {}
+
+        @Override
+        public boolean register(EntryMember member, long lease) {
+            return true;
+        }
+    }
+}
