A leaving daemon takes new requests for 2.7 s at most

Change: the times of a stop are a record of their own; new requests are taken for 0.45 of the grace and 2.7 s at most. ShutdownPlanTest holds the bound of 3 s; with the old part it fails (3.3 s).

--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -52,12 +52,6 @@
     private static final Logger LOG = Logger.getLogger(EntryDaemon.class);
     private static final MediaType SCRAPER_TEXT = MediaType.parse("text/plain; version=0.0.4; charset=utf-8");
 
-    /** Part of the grace for which a leaving daemon still takes new requests. */
-    private static final double SERVING_PART_OF_GRACE = 0.55;
-
-    /** Time before the end of the grace by which the process has ended by itself. */
-    private static final Duration END_BEFORE_GRACE = Duration.ofMillis(700);
-
     /** Time for closing connections once no request is in flight. */
     private static final Duration CLOSING = Duration.ofMillis(150);
 
@@ -200,12 +194,11 @@
         LOG.infof("event=leaving in_flight=%d", shutdown.inFlight());
         shutdown.leave();
         Thread.ofVirtual().name("leave").start(keeper::leave);
-        Duration grace = settings.current().grace();
-        Duration serving = Duration.ofMillis((long) (grace.toMillis() * SERVING_PART_OF_GRACE));
-        Thread.sleep(serving);
+        ShutdownPlan plan = ShutdownPlan.within(settings.current().grace());
+        Thread.sleep(plan.serving());
         shutdown.refuse();
         Duration used = Duration.ofNanos(time.nanos() - startNanos);
-        boolean idle = shutdown.awaitIdle(grace.minus(END_BEFORE_GRACE).minus(used));
+        boolean idle = shutdown.awaitIdle(plan.ending().minus(used));
         LOG.infof("event=stopped idle=%b in_flight=%d", idle, shutdown.inFlight());
         threads.shutdown();
         try {
