Test: an exchange past its deadline ends as timed out

Cause: the test took any end but an answer for right, and with a deadline of 1 ms on the real clock the request might not even have been sent, so it could hardly fail.

Change: an injected clock, so that the request is always sent, and the one outcome that is right (TimedOut); stricter than before.

--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/connections/NettyTargetClientTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/connections/NettyTargetClientTest.java
@@ -271,19 +271,20 @@
     @Test
     void anAnswerThatDoesNotComeInTimeIsNotAwaited() {
         target.then("", ScriptedTarget.After.KEEP);
-        Exchange exchange = client.send(
-                config(),
-                new CallRequest(
-                        "s",
-                        "",
-                        "GET",
-                        "/a",
-                        ImmutableList.of(),
-                        new byte[0],
-                        Optional.empty(),
-                        Deadline.after(TIME, Duration.ofMillis(1)),
-                        0));
-        TargetReply reply = exchange.reply().join();
-        assertFalse(reply instanceof TargetReply.Answered, reply.toString());
+        ManualTimeSource clock = ManualTimeSource.startingAt(0);
+        Exchange exchange = new NettyTargetClient(LOOPS, NAMES, clock)
+                .send(
+                        config(),
+                        new CallRequest(
+                                "s",
+                                "",
+                                "GET",
+                                "/a",
+                                ImmutableList.of(),
+                                new byte[0],
+                                Optional.empty(),
+                                Deadline.after(clock, Duration.ofMillis(1)),
+                                0));
+        assertInstanceOf(TargetReply.TimedOut.class, exchange.reply().join());
     }
 }
