--- a/review/standins/Target.java
+++ b/review/standins/Target.java
@@ -127,6 +127,16 @@
         byte[] lateCopy;
     }
 
+    /** Returns how long work takes on the machine of the target, in percent of the usual time. */
+    int slowPercent() {
+        return 100;
+    }
+
+    /** Returns the milliseconds that a status check takes. */
+    int checkMillis() {
+        return 0;
+    }
+
     /** Returns whether the target tells its load. The status check of one that does not waits for a slot. */
     boolean tellsLoad() {
         return true;
@@ -147,10 +157,11 @@
         Map<String, String> headers = new LinkedHashMap<>();
         if (tellsLoad()) {
             int now = present.get();
-            headers.put("Server-Load", "%d,%d,%d,100".formatted(Math.min(now, slots), Math.max(0, now - slots), slots));
+            headers.put("Server-Load", "%d,%d,%d,%d".formatted(Math.min(now, slots), Math.max(0, now - slots), slots, slowPercent()));
         }
         boolean isCheck = request.path().equals("/healthz");
         if (isCheck && tellsLoad()) {
+            Thread.sleep(checkMillis());
             return check(headers);
         }
         String attempt = request.header("attempt-id");
@@ -174,7 +185,7 @@
                 return check(headers);
             }
             ran(request);
-            Thread.sleep(workMillis);
+            Thread.sleep(workMillis * slowPercent() / 100);
         } finally {
             free.release();
             present.decrementAndGet();
