--- a/review/3/StopUnderLoad.java
+++ b/review/3/StopUnderLoad.java
@@ -21,7 +21,7 @@
     /** Time after SIGTERM until which clients send to the daemon: the validity of the addresses that it gave them. */
     private static final int ADDRESS_VALIDITY_MILLIS = 2_000;
 
-    private static final int REQUESTS_PER_S = 40;
+    private static final int REQUESTS_PER_S = 25;
     private static final int TARGETS = 2;
     private static final int WORK_MILLIS = 550;
 
