Metrics and log lines that show how current a daemon's view is

anvilpick_view_age_ms, anvilpick_store_revision and anvilpick_watches_overdue on the metrics page; watch_overdue, view_old and view_current in the log, once at each change. Only reads count, not renewals of leases. No change of behaviour.

--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
@@ -12,6 +12,7 @@
 import io.anvilpick.fleet.RelayLog;
 import io.anvilpick.fleet.RelayedUpdate;
 import io.anvilpick.fleet.StoredItem;
+import io.anvilpick.fleet.ViewFreshness;
 import io.anvilpick.platform.PlatformException;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
@@ -51,6 +52,9 @@
     /** Maximum time since the store last answered a relay, beyond which its updates are ignored. */
     private static final Duration MAX_RELAY_AGE = Duration.ofMillis(1_200);
 
+    /** Time beyond its wait after which a watch is overdue. */
+    private static final Duration OVERDUE_MARGIN = Duration.ofMillis(250);
+
     /** Time for which a relay is skipped after a failure. */
     private static final Duration RELAY_SKIP_TIME = Duration.ofMillis(1_500);
 
@@ -62,6 +66,7 @@
     private final FleetState state;
     private final RelayLog log;
     private final FleetRelays relays;
+    private final ViewFreshness freshness;
     private final TimeSource time;
     private boolean following;
     private long revision = NOTHING_READ;
@@ -77,6 +82,7 @@
         this.state = parts.state();
         this.log = parts.log();
         this.relays = parts.relays();
+        this.freshness = parts.freshness();
         this.time = parts.time();
         this.relaySkipEnd = Deadline.after(time, Duration.ZERO);
     }
@@ -85,6 +91,7 @@
      * The collaborators of a follower.
      *
      * @param log receives what was read, for daemons that follow the store through this one
+     * @param freshness receives how current that is
      */
     public record Parts(
             FleetStore store,
@@ -92,6 +99,7 @@
             FleetState state,
             RelayLog log,
             FleetRelays relays,
+            ViewFreshness freshness,
             TimeSource time) {}
 
     /** Returns a follower that has read nothing yet. */
@@ -138,9 +146,9 @@
     private Duration followStore(boolean hasRelay) throws InterruptedException {
         Duration maxWait = hasRelay && wait.equals(MAX_WAIT) ? WAIT_WITHOUT_RELAY : wait;
         try {
-            FleetStore.Freshness freshness =
+            FleetStore.Freshness wanted =
                     revision == NOTHING_READ ? FleetStore.Freshness.MAY_BE_STALE : FleetStore.Freshness.LATEST;
-            FleetUpdate update = following ? store.awaitChanges(revision, maxWait) : store.readAll(freshness);
+            FleetUpdate update = following ? awaitChanges(maxWait) : store.readAll(wanted);
             state.onStoreAnswered();
             wait = MAX_WAIT;
             pauseAfterFailure = INITIAL_PAUSE_AFTER_FAILURE;
@@ -154,6 +162,15 @@
         }
     }
 
+    private FleetUpdate awaitChanges(Duration maxWait) throws PlatformException {
+        freshness.recordWatchStart(maxWait.plus(OVERDUE_MARGIN));
+        try {
+            return store.awaitChanges(revision, maxWait);
+        } finally {
+            freshness.recordWatchEnd();
+        }
+    }
+
     private Duration nextPauseAfterFailure() {
         Duration pause = pauseAfterFailure;
         Duration doubled = pause.multipliedBy(2);
@@ -191,6 +208,7 @@
                 state.replaceAll(Iterables.concat(items.values()));
                 log.replaceAll(items, full.revision(), relayed.age());
                 revision = full.revision();
+                freshness.recordRead(revision, relayed.age());
                 following = true;
                 yield Duration.ZERO;
             }
@@ -199,6 +217,7 @@
                 state.apply(Iterables.concat(items.values()));
                 log.add(items, changes.revision(), relayed.age());
                 revision = Math.max(revision, changes.revision());
+                freshness.recordRead(revision, relayed.age());
                 yield items.isEmpty() ? Duration.ZERO : PAUSE_AFTER_CHANGES;
             }
             case FleetUpdate.HistoryLost ignored -> {
--- /dev/null
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/ViewFreshnessTest.java
@@ -0,0 +1,45 @@
+package io.anvilpick.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.anvilpick.time.ManualTimeSource;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class ViewFreshnessTest {
+    private static final Duration OVERDUE_AFTER = Duration.ofMillis(1_250);
+
+    private final ManualTimeSource time = ManualTimeSource.startingAt(0);
+    private final ViewFreshness freshness = new ViewFreshness(time, Duration.ofSeconds(2));
+
+    @Test
+    void ageIncludesTheAgeOfTheSource() {
+        freshness.recordRead(7, Duration.ofMillis(300));
+        time.advance(Duration.ofMillis(200));
+        assertEquals(Duration.ofMillis(500), freshness.age());
+        assertEquals(7, freshness.revision());
+    }
+
+    @Test
+    void watchThatBecomesOverdueCountsOnce() {
+        freshness.recordWatchStart(OVERDUE_AFTER);
+        freshness.check();
+        assertEquals(0, freshness.overdueWatches());
+        time.advance(OVERDUE_AFTER);
+        freshness.check();
+        freshness.check();
+        freshness.recordWatchEnd();
+        freshness.check();
+        assertEquals(1, freshness.overdueWatches());
+    }
+
+    @Test
+    void watchThatEndsOverdueCountsWithoutACheckInBetween() {
+        freshness.recordWatchStart(OVERDUE_AFTER);
+        time.advance(OVERDUE_AFTER);
+        freshness.recordWatchEnd();
+        freshness.recordWatchStart(OVERDUE_AFTER);
+        freshness.recordWatchEnd();
+        assertEquals(1, freshness.overdueWatches());
+    }
+}
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FleetSyncTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FleetSyncTest.java
@@ -13,6 +13,7 @@
 import io.anvilpick.fleet.FleetState;
 import io.anvilpick.fleet.FleetUpdate;
 import io.anvilpick.fleet.RelayLog;
+import io.anvilpick.fleet.ViewFreshness;
 import io.anvilpick.time.ManualTimeSource;
 import java.time.Duration;
 import java.util.List;
@@ -23,12 +24,13 @@
 
     private final ManualTimeSource time = ManualTimeSource.startingAt(0);
     private final FakeStore store = new FakeStore();
+    private final ViewFreshness freshness = new ViewFreshness(time, Duration.ofSeconds(2));
     private final FleetState state = new FleetState(time, view -> {});
     private final FakePeers peers = new FakePeers();
     private final RelayLog log = new RelayLog(time);
     private final FleetRelays relays = new FleetRelays(peers, state::view, SELF, time);
     private final FleetFollower follower =
-            FleetFollower.of(new FleetFollower.Parts(store, store, state, log, relays, time));
+            FleetFollower.of(new FleetFollower.Parts(store, store, state, log, relays, freshness, time));
     private final MemberRegistrar registrar = new MemberRegistrar(store, state, log, relays, SELF);
 
     private void applyOwnRegistration() {
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
@@ -16,6 +16,7 @@
 import io.anvilpick.fleet.FleetUpdate;
 import io.anvilpick.fleet.RelayLog;
 import io.anvilpick.fleet.StoredItem;
+import io.anvilpick.fleet.ViewFreshness;
 import io.anvilpick.time.ManualTimeSource;
 import java.time.Duration;
 import java.util.List;
@@ -30,6 +31,7 @@
 
     private final ManualTimeSource time = ManualTimeSource.startingAt(0);
     private final FakeStore store = new FakeStore();
+    private final ViewFreshness freshness = new ViewFreshness(time, Duration.ofSeconds(2));
     private final FakePeers peers = new FakePeers();
     private final FleetState state = new FleetState(time, view -> {});
     private final RelayLog ownLog = new RelayLog(time);
@@ -38,7 +40,7 @@
 
     private FleetFollower follower(EntryMember self) {
         FleetRelays relays = new FleetRelays(peers, state::view, self, time);
-        return FleetFollower.of(new FleetFollower.Parts(store, store, state, ownLog, relays, time));
+        return FleetFollower.of(new FleetFollower.Parts(store, store, state, ownLog, relays, freshness, time));
     }
 
     private void registerMembers(EntryMember... members) {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -26,6 +26,7 @@
 import io.anvilpick.fleet.FleetStore;
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.fleet.RelayLog;
+import io.anvilpick.fleet.ViewFreshness;
 import io.anvilpick.fleet.sync.FleetFollower;
 import io.anvilpick.fleet.sync.FleetRelays;
 import io.anvilpick.fleet.sync.MemberRegistrar;
@@ -59,6 +60,12 @@
     /** Time between checks for registrations that have expired. */
     private static final Duration EXPIRY_INTERVAL = Duration.ofMillis(300);
 
+    /** Time between checks of how current the content is. */
+    private static final Duration FRESHNESS_INTERVAL = Duration.ofMillis(250);
+
+    /** Age beyond which the content by which the daemon serves counts as old in its log. */
+    private static final Duration MAX_VIEW_AGE = Duration.ofSeconds(2);
+
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
     private static final long MAX_BODY_BYTES = 64L * 1024 * 1024;
     private static final int MAX_HEADER_BYTES = 64 * 1024;
@@ -77,6 +84,7 @@
     private final EntryDispatchers dispatchers;
     private final EntryRunner runner;
     private final FleetState state;
+    private final ViewFreshness freshness;
     private final FleetFollower follower;
     private final EntryPeers peers;
     private final EventLoopGroup loops = CommonPools.workerGroup();
@@ -95,6 +103,7 @@
                 initial.extraCalls(),
                 initial.self().zone());
         this.state = new FleetState(time, dispatchers::update);
+        this.freshness = new ViewFreshness(time, MAX_VIEW_AGE);
         RelayLog relayLog = new RelayLog(time);
         PeerClient peerClient = new PeerClient(loops, time);
         CrashHistory crashes = new CrashHistory(time);
@@ -102,7 +111,7 @@
                 new EntryPeers(new EntryPeers.Parts(peerClient, state::view, initial.self(), relayLog, crashes, time));
         FleetRelays relays = new FleetRelays(peerClient, state::view, initial.self(), time);
         this.follower = FleetFollower.of(new FleetFollower.Parts(
-                store, checkNotNull(builder.decoder, "decoder"), state, relayLog, relays, time));
+                store, checkNotNull(builder.decoder, "decoder"), state, relayLog, relays, freshness, time));
         this.registrar = new MemberRegistrar(store, state, relayLog, relays, initial.self());
         this.addressSelector = new EntryAddressSelector(state::view, initial.self());
         HeldBytes heldBodies = HeldBytes.atMost(Runtime.getRuntime().maxMemory() / BODY_LIMIT_HEAP_DIVISOR);
@@ -154,6 +163,9 @@
     private void registerGauges() {
         metrics.gauge("anvilpick_requests_in_flight", shutdown::inFlight);
         metrics.gauge("anvilpick_members_known", () -> state.view().members().size());
+        metrics.gauge("anvilpick_view_age_ms", () -> freshness.age().toMillis());
+        metrics.gauge("anvilpick_store_revision", freshness::revision);
+        metrics.gauge("anvilpick_watches_overdue", freshness::overdueWatches);
         metrics.gauge(
                 "anvilpick_configuration_version",
                 () -> state.view().configuration().map(each -> each.version()).orElse(0L));
@@ -173,6 +185,10 @@
             state.expire();
             return EXPIRY_INTERVAL;
         });
+        startLoop("freshness", () -> {
+            freshness.check();
+            return FRESHNESS_INTERVAL;
+        });
     }
 
     private void startLoop(String name, BackgroundLoop.Step step) {
