Tests that show how a watch without response holds changes back

Cause, as the tests show it: the wait is 8 s; a watch that gets no response is asked again only after the wait and the time-out of a call; the lease renewals of a relay make its content count as current meanwhile.

--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FleetSyncTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FleetSyncTest.java
@@ -119,6 +119,20 @@
         assertEquals(List.of(FleetFollower.MAX_WAIT, Duration.ofMillis(1), FleetFollower.MAX_WAIT), store.waits);
     }
 
+    /** Guards against changes that a watch without response holds back for longer than the bound (issue 36). */
+    @Test
+    void waitForChangesLeavesTimeWithinTheBoundToAskAgain() throws Exception {
+        Duration bound = Duration.ofSeconds(2);
+        follower.step();
+        follower.step();
+        store.updates.add(new FleetUpdate.Changes(
+                ImmutableList.of(store.item("a", 12, new FleetChange.TargetRegistered(target("a", "s", false)))), 12));
+        Duration pause = follower.step();
+        follower.step();
+        assertTrue(store.waits.getFirst().compareTo(bound.dividedBy(2)) <= 0, () -> "waits " + store.waits);
+        assertTrue(pause.plus(store.waits.getLast()).compareTo(bound.dividedBy(2)) <= 0, () -> "waits " + store.waits);
+    }
+
     @Test
     void failedRenewalAbortsTheWaitForChanges() throws Exception {
         registrar.step();
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -27,6 +28,8 @@
     private static final EntryMember SELF = member("b", "z");
     private static final EntryMember RELAY = member("a", "z");
     private static final EntryMember FAR = member("far", "y");
+    private static final Duration BOUND = Duration.ofSeconds(2);
+    private static final Duration RELAY_POLL = Duration.ofMillis(250);
     private static final FleetChange REGISTERED = new FleetChange.TargetRegistered(target("t", "s", false));
 
     private final ManualTimeSource time = ManualTimeSource.startingAt(0);
@@ -141,6 +144,25 @@
         assertEquals(Duration.ZERO, ownLog.updateAfter(10).orElseThrow().age());
     }
 
+    /** Guards against a relay that counts as current by its lease renewals while its watch gets no response (issue 36). */
+    @Test
+    void relayWhoseWatchGetsNoResponseIsLeftWithinTheBound() throws Exception {
+        registerMembers(SELF, RELAY);
+        relayHasRead(20);
+        FleetRelays relaysOfRelay = new FleetRelays(peers, state::view, RELAY, time);
+        MemberRegistrar registrarOfRelay = new MemberRegistrar(store, state, relayLog, relaysOfRelay, RELAY);
+        for (Duration elapsed = Duration.ZERO; elapsed.compareTo(BOUND) < 0; elapsed = elapsed.plus(RELAY_POLL)) {
+            registrarOfRelay.step();
+            store.calls.clear();
+            follower.step();
+            if (!store.calls.isEmpty()) {
+                return;
+            }
+            time.advance(RELAY_POLL);
+        }
+        fail("still follows the relay after " + BOUND);
+    }
+
     @Test
     void leaseRenewalOfADaemonWithARelayDoesNotRefreshItsLog() throws Exception {
         registerMembers(SELF, RELAY);
