A wait for changes without response is asked again within the bound

Cause: a wait of 8 s on a connection that has lost its packets is noticed only after the wait and the time-out of a call, and the lease renewals of a relay made its content count as current meanwhile.

A wait lasts 0.45 of the bound, less the pause after changes; if it is overdue by 0.12, HedgedCall sends it once more on a new connection, and the first response counts, so that a slow store is still followed. Only reads make the log of a relay current; it is left at 0.62 of the bound. After a call without response the client closes its idle connections. An aborted call closes its connection only while it still carries that call.

Why it is enough, for 2 s: 1.14 s until the second request, 0.25 s to the next query of a relay, at most 0.35 s for its answer: 1.74 s and the time of one call to the store. Price without changes: 1.1 waits a second and zone instead of 0.125; the zone's first daemon renews half as often.

--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetStore.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetStore.java
@@ -21,7 +21,10 @@
     /** Returns all items of the store. */
     FleetUpdate.FullState readAll(Freshness freshness) throws PlatformException;
 
-    /** Waits up to {@code wait} for changes after {@code revision}. */
+    /**
+     * Waits up to {@code wait} for changes after {@code revision}. A call that is overdue is sent once more on another connection,
+     * because its own may have lost its packets without being closed.
+     */
     FleetUpdate awaitChanges(long revision, Duration wait) throws PlatformException;
 
     /** Makes a waiting {@link #awaitChanges} fail at once. Its connection may be dead without having been closed. */
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/RelayLog.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/RelayLog.java
@@ -34,9 +34,6 @@
 
     private boolean initialized;
 
-    /** Whether this daemon receives the changes of the store, as far as it knows. */
-    private boolean following;
-
     /** Revision after which {@link #changes} is complete. */
     private long completeAfter;
 
@@ -76,33 +73,6 @@
         }
     }
 
-    /**
-     * Records that the store has just answered a call other than a read.
-     *
-     * <p>The content then counts as read now, because this daemon normally receives each change soon after it is written. A
-     * change that it has not received yet may be missing. Has no effect between {@link #recordFault} and the next read.
-     */
-    public void recordStoreAnswer() {
-        lock.lock();
-        try {
-            if (following) {
-                readAtNanos = time.nanos();
-            }
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    /** Records that this daemon failed to follow the store, so that its content ages until the next read. */
-    public void recordFault() {
-        lock.lock();
-        try {
-            following = false;
-        } finally {
-            lock.unlock();
-        }
-    }
-
     /** Returns the update for a daemon that has read the store up to {@code after}; empty if this daemon has read nothing yet. */
     public Optional<RelayedUpdate> updateAfter(long after) {
         lock.lock();
@@ -120,7 +90,6 @@
     private void recordRead(long readRevision, Duration age) {
         revision = readRevision;
         readAtNanos = time.nanos() - age.toNanos();
-        following = true;
     }
 
     private void add(StoredItem item, ImmutableList<FleetChange> decoded) {
--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/WatchTimes.java
@@ -0,0 +1,69 @@
+package io.anvilpick.fleet;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.time.Duration;
+
+/**
+ * How long a daemon waits for changes, so that a wait that gets no response is noticed in time.
+ *
+ * <p>A change must be in force within a bound. The longest way of a change is a wait without response, which is asked again, and
+ * then a query of a daemon that follows the store through this one: {@link #overdueAfter}, a call to the store, the interval of the
+ * queries, and an answer.
+ *
+ * @param bound time within which a change must be in force
+ */
+public record WatchTimes(Duration bound) {
+    private static final int WAIT_PERCENT = 45;
+    private static final int MARGIN_PERCENT = 12;
+    private static final int PAUSE_PERCENT = 20;
+    private static final int RELAY_AGE_PERCENT = 62;
+
+    /** The minimum bound. A shorter one would cost many calls to the store. */
+    public static final Duration MIN_BOUND = Duration.ofMillis(200);
+
+    /** Times are derived from this bound if the actual one is longer. */
+    private static final Duration MAX_BOUND = Duration.ofSeconds(16);
+
+    private static final Duration MAX_PAUSE = Duration.ofMillis(400);
+
+    public WatchTimes {
+        checkArgument(bound.compareTo(MIN_BOUND) >= 0, "bound must be at least %s: %s", MIN_BOUND, bound);
+    }
+
+    /** Returns the time for which a call waits for changes. */
+    public Duration maxWait() {
+        return percent(WAIT_PERCENT);
+    }
+
+    /** Returns the pause after changes, which combines many changes in a row into few calls. The next wait is shorter by it. */
+    public Duration pauseAfterChanges() {
+        return shorter(percent(PAUSE_PERCENT), MAX_PAUSE);
+    }
+
+    /** Returns the time beyond its wait after which a call is overdue and is sent again. */
+    public Duration overdueMargin() {
+        return percent(MARGIN_PERCENT);
+    }
+
+    /** Returns the time after which a call that waits as long as possible is overdue. */
+    public Duration overdueAfter() {
+        return maxWait().plus(overdueMargin());
+    }
+
+    /**
+     * Returns the maximum time since the store last answered a read of a relay, beyond which the relay is not followed. It is more
+     * than {@link #overdueAfter}, so that a relay whose call is answered when it is sent again is still followed.
+     */
+    public Duration maxRelayAge() {
+        return percent(RELAY_AGE_PERCENT);
+    }
+
+    private Duration percent(int percent) {
+        return shorter(bound, MAX_BOUND).multipliedBy(percent).dividedBy(100);
+    }
+
+    private static Duration shorter(Duration one, Duration other) {
+        return one.compareTo(other) <= 0 ? one : other;
+    }
+}
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
@@ -13,6 +13,7 @@
 import io.anvilpick.fleet.RelayedUpdate;
 import io.anvilpick.fleet.StoredItem;
 import io.anvilpick.fleet.ViewFreshness;
+import io.anvilpick.fleet.WatchTimes;
 import io.anvilpick.platform.PlatformException;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
@@ -31,15 +32,6 @@
  * answer this daemon, each step also queries another daemon. It queries the same one until that fails, and then the next one.
  */
 public final class FleetFollower {
-    /** Time that one call waits for changes. */
-    public static final Duration MAX_WAIT = Duration.ofSeconds(8);
-
-    /** Wait of a daemon that follows the store directly only until its relay answers again. */
-    private static final Duration WAIT_WITHOUT_RELAY = Duration.ofSeconds(1);
-
-    /** Pause after changes, which combines many changes in a row into few calls. */
-    private static final Duration PAUSE_AFTER_CHANGES = Duration.ofMillis(400);
-
     /** Wait for changes in a call after a failure. A short call shows soon whether the store is available again. */
     private static final Duration WAIT_AFTER_FAILURE = Duration.ofMillis(1);
 
@@ -49,12 +41,6 @@
     /** Time between two queries to a relay. */
     private static final Duration RELAY_POLL_INTERVAL = Duration.ofMillis(250);
 
-    /** Maximum time since the store last answered a relay, beyond which its updates are ignored. */
-    private static final Duration MAX_RELAY_AGE = Duration.ofMillis(1_200);
-
-    /** Time beyond its wait after which a watch is overdue. */
-    private static final Duration OVERDUE_MARGIN = Duration.ofMillis(250);
-
     /** Time for which a relay is skipped after a failure. */
     private static final Duration RELAY_SKIP_TIME = Duration.ofMillis(1_500);
 
@@ -67,10 +53,11 @@
     private final RelayLog log;
     private final FleetRelays relays;
     private final ViewFreshness freshness;
+    private final WatchTimes times;
     private final TimeSource time;
     private boolean following;
     private long revision = NOTHING_READ;
-    private Duration wait = MAX_WAIT;
+    private Duration wait;
     private Duration pauseAfterFailure = INITIAL_PAUSE_AFTER_FAILURE;
     private Deadline relaySkipEnd;
     private String source = "none";
@@ -83,6 +70,8 @@
         this.log = parts.log();
         this.relays = parts.relays();
         this.freshness = parts.freshness();
+        this.times = parts.times();
+        this.wait = times.maxWait();
         this.time = parts.time();
         this.relaySkipEnd = Deadline.after(time, Duration.ZERO);
     }
@@ -100,6 +89,7 @@
             RelayLog log,
             FleetRelays relays,
             ViewFreshness freshness,
+            WatchTimes times,
             TimeSource time) {}
 
     /** Returns a follower that has read nothing yet. */
@@ -117,7 +107,6 @@
         } catch (RuntimeException | Error e) {
             following = false;
             relaySkipEnd = Deadline.after(time, RELAY_SKIP_TIME);
-            log.recordFault();
             throw e;
         }
     }
@@ -130,12 +119,12 @@
             }
             relaySkipEnd = Deadline.after(time, RELAY_SKIP_TIME);
         }
-        return followStore(relay.isPresent());
+        return followStore();
     }
 
     private boolean followRelay(EntryMember relay) throws InterruptedException {
         Optional<RelayedUpdate> relayed = relays.fetchUpdate(relay, revision);
-        if (relayed.isEmpty() || relayed.get().age().compareTo(MAX_RELAY_AGE) > 0) {
+        if (relayed.isEmpty() || relayed.get().age().compareTo(times.maxRelayAge()) > 0) {
             return false;
         }
         apply(relayed.get());
@@ -143,17 +132,17 @@
         return true;
     }
 
-    private Duration followStore(boolean hasRelay) throws InterruptedException {
-        Duration maxWait = hasRelay && wait.equals(MAX_WAIT) ? WAIT_WITHOUT_RELAY : wait;
+    private Duration followStore() throws InterruptedException {
         try {
             FleetStore.Freshness wanted =
                     revision == NOTHING_READ ? FleetStore.Freshness.MAY_BE_STALE : FleetStore.Freshness.LATEST;
-            FleetUpdate update = following ? awaitChanges(maxWait) : store.readAll(wanted);
+            FleetUpdate update = following ? awaitChanges() : store.readAll(wanted);
             state.onStoreAnswered();
-            wait = MAX_WAIT;
             pauseAfterFailure = INITIAL_PAUSE_AFTER_FAILURE;
             recordSource("store");
-            return apply(new RelayedUpdate(update, Duration.ZERO));
+            Duration pause = apply(new RelayedUpdate(update, Duration.ZERO));
+            wait = times.maxWait().minus(pause);
+            return pause;
         } catch (PlatformException e) {
             state.onStoreUnavailable(String.valueOf(e.getMessage()));
             wait = WAIT_AFTER_FAILURE;
@@ -162,10 +151,10 @@
         }
     }
 
-    private FleetUpdate awaitChanges(Duration maxWait) throws PlatformException {
-        freshness.recordWatchStart(maxWait.plus(OVERDUE_MARGIN));
+    private FleetUpdate awaitChanges() throws PlatformException {
+        freshness.recordWatchStart(wait.plus(times.overdueMargin()));
         try {
-            return store.awaitChanges(revision, maxWait);
+            return store.awaitChanges(revision, wait);
         } finally {
             freshness.recordWatchEnd();
         }
@@ -186,7 +175,7 @@
         }
         EntryMember daemon = daemons.get(otherDaemonIndex % daemons.size());
         Optional<RelayedUpdate> relayed = relays.fetchUpdate(daemon, revision);
-        if (relayed.isEmpty() || relayed.get().age().compareTo(MAX_RELAY_AGE) > 0) {
+        if (relayed.isEmpty() || relayed.get().age().compareTo(times.maxRelayAge()) > 0) {
             otherDaemonIndex = (otherDaemonIndex + 1) % daemons.size();
             return;
         }
@@ -218,7 +207,7 @@
                 log.add(items, changes.revision(), relayed.age());
                 revision = Math.max(revision, changes.revision());
                 freshness.recordRead(revision, relayed.age());
-                yield items.isEmpty() ? Duration.ZERO : PAUSE_AFTER_CHANGES;
+                yield items.isEmpty() ? Duration.ZERO : times.pauseAfterChanges();
             }
             case FleetUpdate.HistoryLost ignored -> {
                 LOG.infof("event=history_lost revision=%d", revision);
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/MemberRegistrar.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/MemberRegistrar.java
@@ -3,7 +3,6 @@
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetState;
 import io.anvilpick.fleet.FleetStore;
-import io.anvilpick.fleet.RelayLog;
 import io.anvilpick.platform.PlatformException;
 import java.time.Duration;
 import org.jboss.logging.Logger;
@@ -20,27 +19,20 @@
     private static final Duration TIME_TO_LIVE = Duration.ofMillis(5_000);
     private static final Duration RENEW_INTERVAL = Duration.ofMillis(1_400);
 
-    /** A relay renews more often, because the answers show its followers that it still reaches the store. */
-    private static final Duration RELAY_RENEW_INTERVAL = Duration.ofMillis(700);
-
     private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(700);
     private static final long NO_LEASE = 0;
 
     private final FleetStore store;
     private final FleetState state;
-    private final RelayLog log;
-    private final FleetRelays relays;
     private final EntryMember self;
     private long lease = NO_LEASE;
     private boolean registered;
     private boolean left;
 
     /** Creates a registrar that has registered nothing yet. */
-    public MemberRegistrar(FleetStore store, FleetState state, RelayLog log, FleetRelays relays, EntryMember self) {
+    public MemberRegistrar(FleetStore store, FleetState state, EntryMember self) {
         this.store = store;
         this.state = state;
-        this.log = log;
-        this.relays = relays;
         this.self = self;
     }
 
@@ -52,11 +44,7 @@
         try {
             renewOrRegister();
             state.onStoreAnswered();
-            if (relays.assignedRelay().isPresent()) {
-                return RENEW_INTERVAL;
-            }
-            log.recordStoreAnswer();
-            return RELAY_RENEW_INTERVAL;
+            return RENEW_INTERVAL;
         } catch (PlatformException e) {
             state.onStoreUnavailable(String.valueOf(e.getMessage()));
             store.abortWaiting();
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -63,9 +63,6 @@
     /** Time between checks of how current the content is. */
     private static final Duration FRESHNESS_INTERVAL = Duration.ofMillis(250);
 
-    /** Age beyond which the content by which the daemon serves counts as old in its log. */
-    private static final Duration MAX_VIEW_AGE = Duration.ofSeconds(2);
-
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
     private static final long MAX_BODY_BYTES = 64L * 1024 * 1024;
     private static final int MAX_HEADER_BYTES = 64 * 1024;
@@ -103,7 +100,7 @@
                 initial.extraCalls(),
                 initial.self().zone());
         this.state = new FleetState(time, dispatchers::update);
-        this.freshness = new ViewFreshness(time, MAX_VIEW_AGE);
+        this.freshness = new ViewFreshness(time, initial.watchTimes().bound());
         RelayLog relayLog = new RelayLog(time);
         PeerClient peerClient = new PeerClient(loops, time);
         CrashHistory crashes = new CrashHistory(time);
@@ -111,8 +108,15 @@
                 new EntryPeers(new EntryPeers.Parts(peerClient, state::view, initial.self(), relayLog, crashes, time));
         FleetRelays relays = new FleetRelays(peerClient, state::view, initial.self(), time);
         this.follower = FleetFollower.of(new FleetFollower.Parts(
-                store, checkNotNull(builder.decoder, "decoder"), state, relayLog, relays, freshness, time));
-        this.registrar = new MemberRegistrar(store, state, relayLog, relays, initial.self());
+                store,
+                checkNotNull(builder.decoder, "decoder"),
+                state,
+                relayLog,
+                relays,
+                freshness,
+                initial.watchTimes(),
+                time));
+        this.registrar = new MemberRegistrar(store, state, initial.self());
         this.addressSelector = new EntryAddressSelector(state::view, initial.self());
         HeldBytes heldBodies = HeldBytes.atMost(Runtime.getRuntime().maxMemory() / BODY_LIMIT_HEAP_DIVISOR);
         this.runner = newRunner(headers, crashes, heldBodies);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.anvilpick.entry.SharedBudget;
 import io.anvilpick.fleet.EntryMember;
+import io.anvilpick.fleet.WatchTimes;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
@@ -20,6 +21,7 @@
  *     needs a restart
  * @param grace time from the stop signal until the process is killed
  * @param addressesGoodFor time for which callers may cache an answer of the directory
+ * @param watchTimes how long the daemon waits for changes of the store; a change needs a restart
  */
 public record EntrySettings(
         EntryMember self,
@@ -27,7 +29,10 @@
         InetSocketAddress metricsAddress,
         SharedBudget extraCalls,
         Duration grace,
-        Duration addressesGoodFor) {
+        Duration addressesGoodFor,
+        WatchTimes watchTimes) {
+    private static final Duration DEFAULT_CHANGE_BOUND = Duration.ofSeconds(2);
+
     public EntrySettings {
         checkArgument(grace.isPositive(), "grace must be positive: %s", grace);
         checkArgument(addressesGoodFor.isPositive(), "addressesGoodFor must be positive: %s", addressesGoodFor);
@@ -42,7 +47,8 @@
     public EntrySettings reloaded(EntrySettings next) {
         SharedBudget budget =
                 new SharedBudget(next.extraCalls.ratio(), next.extraCalls.allowance(), extraCalls.window());
-        return new EntrySettings(self, callAddress, metricsAddress, budget, next.grace, next.addressesGoodFor);
+        return new EntrySettings(
+                self, callAddress, metricsAddress, budget, next.grace, next.addressesGoodFor, watchTimes);
     }
 
     /** Returns the names of the settings that differ in {@code other}. */
@@ -54,6 +60,7 @@
         addIfDifferent(names, "extraCalls", extraCalls, other.extraCalls);
         addIfDifferent(names, "grace", grace, other.grace);
         addIfDifferent(names, "addressesGoodFor", addressesGoodFor, other.addressesGoodFor);
+        addIfDifferent(names, "watchTimes", watchTimes, other.watchTimes);
         return names.build();
     }
 
@@ -71,6 +78,7 @@
         private @Nullable SharedBudget extraCalls;
         private @Nullable Duration grace;
         private @Nullable Duration addressesGoodFor;
+        private WatchTimes watchTimes = new WatchTimes(DEFAULT_CHANGE_BOUND);
 
         private Builder(EntryMember self) {
             this.self = self;
@@ -106,6 +114,12 @@
             return this;
         }
 
+        /** Sets how long the daemon waits for changes of the store. The default suits changes that are in force within 2 s. */
+        public Builder watchTimes(WatchTimes value) {
+            watchTimes = value;
+            return this;
+        }
+
         /**
          * Returns the settings.
          *
@@ -119,7 +133,8 @@
                     checkNotNull(metricsAddress, "metricsAddress"),
                     checkNotNull(extraCalls, "extraCalls"),
                     checkNotNull(grace, "grace"),
-                    checkNotNull(addressesGoodFor, "addressesGoodFor"));
+                    checkNotNull(addressesGoodFor, "addressesGoodFor"),
+                    watchTimes);
         }
     }
 }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/ClientConnection.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/ClientConnection.java
@@ -58,6 +58,15 @@
         channel.close();
     }
 
+    /** Closes the connection if it still carries {@code call}. */
+    void cancel(PendingCall call) {
+        channel.eventLoop().execute(() -> {
+            if (current == call) {
+                fail("aborted");
+            }
+        });
+    }
+
     /** Sends {@code next} on the thread of the channel, or on another connection if this one has closed meanwhile. */
     void send(PendingCall next) {
         channel.eventLoop().execute(() -> {
@@ -78,8 +87,7 @@
         current = next;
         interimResponses = 0;
         long remaining = Math.max(0, next.call().deadline().remainingNanos(time.nanos()));
-        timeout =
-                channel.eventLoop().schedule(() -> next.abort("no response in time"), remaining, TimeUnit.NANOSECONDS);
+        timeout = channel.eventLoop().schedule(() -> onTimeout(next), remaining, TimeUnit.NANOSECONDS);
         channel.writeAndFlush(requestOf(next.call())).addListener(written -> {
             if (!written.isSuccess()) {
                 fail("write failed");
@@ -87,6 +95,11 @@
         });
     }
 
+    private void onTimeout(PendingCall late) {
+        client.closeIdleConnections();
+        late.abort("no response in time");
+    }
+
     private FullHttpRequest requestOf(ServerCall call) {
         FullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
--- /dev/null
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HedgedCall.java
@@ -0,0 +1,89 @@
+package io.anvilpick.daemon.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * An idempotent call that is sent once more, on a new connection, if it has no reply after a while. The first response is the reply,
+ * and the connection of the other attempt is closed. Thread safe; guarded by its lock.
+ */
+final class HedgedCall {
+    private final ReentrantLock lock = new ReentrantLock();
+    private final HttpServerClient client;
+    private final PendingCall whole;
+    private final List<PendingCall> attempts = new ArrayList<>();
+    private int running;
+
+    /** Creates a call whose reply completes {@code whole}, and ends the attempts once that is complete. */
+    HedgedCall(HttpServerClient client, PendingCall whole) {
+        this.client = client;
+        this.whole = whole;
+        whole.reply().thenAccept(reply -> abortAttempts());
+    }
+
+    /** Sends the call for the first time. */
+    void send() {
+        PendingCall attempt = newAttempt();
+        client.dispatch(attempt);
+    }
+
+    /** Sends the call once more unless it is complete. */
+    void sendAgain() {
+        if (whole.isDone()) {
+            return;
+        }
+        PendingCall attempt = newAttempt();
+        if (whole.isDone()) {
+            attempt.abort();
+            return;
+        }
+        client.dispatchOnNewConnection(attempt);
+    }
+
+    private PendingCall newAttempt() {
+        PendingCall attempt = new PendingCall(whole.call());
+        lock.lock();
+        try {
+            attempts.add(attempt);
+            running++;
+        } finally {
+            lock.unlock();
+        }
+        attempt.reply().thenAccept(this::onReply);
+        return attempt;
+    }
+
+    /** A failed attempt ends the call only if no other attempt is running. */
+    private void onReply(ServerReply reply) {
+        boolean last;
+        lock.lock();
+        try {
+            running--;
+            last = running == 0;
+        } finally {
+            lock.unlock();
+        }
+        boolean responded =
+                switch (reply) {
+                    case ServerReply.Answered ignored -> true;
+                    case ServerReply.TooLarge ignored -> true;
+                    case ServerReply.NotSent ignored -> false;
+                    case ServerReply.Lost ignored -> false;
+                };
+        if (responded || last) {
+            whole.complete(reply);
+        }
+    }
+
+    private void abortAttempts() {
+        List<PendingCall> started;
+        lock.lock();
+        try {
+            started = List.copyOf(attempts);
+        } finally {
+            lock.unlock();
+        }
+        started.forEach(PendingCall::abort);
+    }
+}
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HttpServerClient.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HttpServerClient.java
@@ -1,6 +1,7 @@
 package io.anvilpick.daemon.http;
 
 import com.google.common.net.HostAndPort;
+import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -13,6 +14,9 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
 import org.jspecify.annotations.Nullable;
 
@@ -27,6 +31,7 @@
 
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+    private final EventLoopGroup loops;
     private final HostAndPort server;
     private final InetSocketAddress address;
     private final TimeSource time;
@@ -40,6 +45,7 @@
      * @param loops event loops that serve the connections; not shut down by the client
      */
     public HttpServerClient(EventLoopGroup loops, HostAndPort server, TimeSource time) {
+        this.loops = loops;
         this.server = server;
         this.address = new InetSocketAddress(server.getHost(), server.getPort());
         this.time = time;
@@ -66,6 +72,24 @@
         return pending;
     }
 
+    /**
+     * Sends an idempotent {@code call}, and sends it once more on a new connection if it has no response by {@code overdueAt}. Its
+     * connection may have lost its packets without being closed. The first response counts.
+     */
+    public PendingCall sendHedged(ServerCall call, Deadline overdueAt) {
+        PendingCall pending = new PendingCall(call);
+        if (call.deadline().hasPassed(time)) {
+            pending.complete(new ServerReply.NotSent("deadline passed"));
+            return pending;
+        }
+        HedgedCall hedged = new HedgedCall(this, pending);
+        hedged.send();
+        long remaining = Math.max(0, overdueAt.remainingNanos(time.nanos()));
+        Future<?> timer = loops.schedule(hedged::sendAgain, remaining, TimeUnit.NANOSECONDS);
+        pending.reply().thenAccept(reply -> timer.cancel(false));
+        return pending;
+    }
+
     /** Sends {@code pending} on an idle connection, or on a new one if there is none. */
     void dispatch(PendingCall pending) {
         ClientConnection connection = acquire();
@@ -73,6 +97,11 @@
             connection.send(pending);
             return;
         }
+        dispatchOnNewConnection(pending);
+    }
+
+    /** Sends {@code pending} on a new connection. */
+    void dispatchOnNewConnection(PendingCall pending) {
         ChannelFuture connecting = bootstrap.connect(address);
         connecting.addListener(connected -> {
             if (connected.isSuccess()) {
@@ -120,6 +149,22 @@
         }
     }
 
+    /**
+     * Closes the idle connections. They may have lost their packets as well, if a call has had no response on a connection to the
+     * same server.
+     */
+    void closeIdleConnections() {
+        List<ClientConnection> closed;
+        lock.lock();
+        try {
+            closed = List.copyOf(idle);
+            idle.clear();
+        } finally {
+            lock.unlock();
+        }
+        closed.forEach(ClientConnection::close);
+    }
+
     /** Returns the value of the host header. */
     String authority() {
         return server.toString();
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/PendingCall.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/PendingCall.java
@@ -30,7 +30,7 @@
         }
         ClientConnection carrier = connection.get();
         if (carrier != null) {
-            carrier.close();
+            carrier.cancel(this);
         }
     }
 
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/http/HttpServerClientTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/http/HttpServerClientTest.java
@@ -131,6 +131,67 @@
         assertEquals(2, server.connections.size());
     }
 
+    private ServerReply getHedged(Duration overdueAfter) {
+        Deadline deadline = Deadline.after(time, Duration.ofSeconds(30));
+        ServerCall call = new ServerCall("GET", "/watch", new byte[0], deadline);
+        return client.sendHedged(call, Deadline.after(time, overdueAfter))
+                .reply()
+                .join();
+    }
+
+    /** Guards against a call that waits on a connection that has lost its packets without being closed (issue 36). */
+    @Test
+    void anOverdueCallIsSentAgainOnANewConnection() {
+        openIdleConnections();
+        server.enqueue("", Ending.KEEP);
+        server.enqueue(EMPTY_ANSWER, Ending.KEEP);
+        assertEquals(204, answered(getHedged(Duration.ofMillis(1))).status());
+        assertEquals(3, server.connections.size());
+        assertEquals(server.requests.get(2), server.requests.get(3));
+    }
+
+    @Test
+    void aCallThatIsAnsweredInTimeIsSentOnce() {
+        server.enqueue(EMPTY_ANSWER, Ending.KEEP);
+        assertEquals(204, answered(getHedged(Duration.ofSeconds(20))).status());
+        assertEquals(1, server.requests.size());
+    }
+
+    @Test
+    void anOverdueCallIsLostOnceBothAttemptsAre() {
+        server.enqueue("", Ending.KEEP);
+        server.enqueue("", Ending.CLOSE);
+        Deadline deadline = Deadline.after(time, Duration.ofMillis(300));
+        ServerCall call = new ServerCall("GET", "/watch", new byte[0], deadline);
+        PendingCall pending = client.sendHedged(call, Deadline.after(time, Duration.ofMillis(1)));
+        assertEquals(
+                new ServerReply.Lost("no response in time"), pending.reply().join());
+    }
+
+    /** Guards against one call after another that is lost on pooled connections that are all dead (issue 36). */
+    @Test
+    void idleConnectionsAreNotUsedAfterACallWithoutResponse() {
+        openIdleConnections();
+        server.enqueue("", Ending.KEEP);
+        Deadline deadline = Deadline.after(time, Duration.ofMillis(1));
+        PendingCall lost = client.send(new ServerCall("GET", "/", new byte[0], deadline));
+        assertInstanceOf(ServerReply.Lost.class, lost.reply().join());
+        server.enqueue(EMPTY_ANSWER, Ending.KEEP);
+        assertEquals(204, answered(get()).status());
+        assertEquals(3, server.connections.size());
+    }
+
+    /** Opens two connections, which are idle when it returns. */
+    private void openIdleConnections() {
+        PendingCall one = call("GET", "");
+        PendingCall other = call("GET", "");
+        server.enqueue(EMPTY_ANSWER, Ending.KEEP);
+        server.enqueue(EMPTY_ANSWER, Ending.KEEP);
+        answered(one.reply().join());
+        answered(other.reply().join());
+        assertEquals(2, server.connections.size());
+    }
+
     /** A server in trouble may send bytes that are no answer until its client closes. */
     @ParameterizedTest
     @CsvSource({
