--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FleetSyncTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FleetSyncTest.java
@@ -13,23 +13,27 @@
 import io.anvilpick.fleet.FleetState;
 import io.anvilpick.fleet.FleetUpdate;
 import io.anvilpick.fleet.RelayLog;
+import io.anvilpick.fleet.ViewFreshness;
+import io.anvilpick.fleet.WatchTimes;
 import io.anvilpick.time.ManualTimeSource;
 import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class FleetSyncTest {
+    private static final WatchTimes TIMES = new WatchTimes(Duration.ofSeconds(2));
     private static final EntryMember SELF = member("self", "z");
 
     private final ManualTimeSource time = ManualTimeSource.startingAt(0);
     private final FakeStore store = new FakeStore();
+    private final ViewFreshness freshness = new ViewFreshness(time, Duration.ofSeconds(2));
     private final FleetState state = new FleetState(time, view -> {});
     private final FakePeers peers = new FakePeers();
     private final RelayLog log = new RelayLog(time);
     private final FleetRelays relays = new FleetRelays(peers, state::view, SELF, time);
     private final FleetFollower follower =
-            FleetFollower.of(new FleetFollower.Parts(store, store, state, log, relays, time));
-    private final MemberRegistrar registrar = new MemberRegistrar(store, state, log, relays, SELF);
+            FleetFollower.of(new FleetFollower.Parts(store, store, state, log, relays, freshness, TIMES, time));
+    private final MemberRegistrar registrar = new MemberRegistrar(store, state, SELF);
 
     private void applyOwnRegistration() {
         state.apply(List.of(new FleetChange.MemberRegistered(SELF)));
@@ -114,7 +118,21 @@
         store.unavailable = false;
         follower.step();
         follower.step();
-        assertEquals(List.of(FleetFollower.MAX_WAIT, Duration.ofMillis(1), FleetFollower.MAX_WAIT), store.waits);
+        assertEquals(List.of(TIMES.maxWait(), Duration.ofMillis(1), TIMES.maxWait()), store.waits);
+    }
+
+    /** Guards against changes that a watch without response holds back for longer than the bound (issue 36). */
+    @Test
+    void waitForChangesLeavesTimeWithinTheBoundToAskAgain() throws Exception {
+        Duration bound = Duration.ofSeconds(2);
+        follower.step();
+        follower.step();
+        store.updates.add(new FleetUpdate.Changes(
+                ImmutableList.of(store.item("a", 12, new FleetChange.TargetRegistered(target("a", "s", false)))), 12));
+        Duration pause = follower.step();
+        follower.step();
+        assertTrue(store.waits.getFirst().compareTo(bound.dividedBy(2)) <= 0, () -> "waits " + store.waits);
+        assertTrue(pause.plus(store.waits.getLast()).compareTo(bound.dividedBy(2)) <= 0, () -> "waits " + store.waits);
     }
 
     @Test
