A vote in a claim group without replicas ends

Callers would have waited for ever: Claimer.vote takes a vote from a queue into which a group without replicas puts none, past the deadline of the call. Such a group has no majority, so the claim counts as unavailable and is tried again until the deadline.

--- a/anvilpick-core/src/main/java/io/anvilpick/claims/replication/Claimer.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/claims/replication/Claimer.java
@@ -128,6 +128,9 @@
     }
 
     private ClaimRound.Decision vote(ClaimGroup group, Claim claim, Deadline deadline) throws InterruptedException {
+        if (group.replicas().isEmpty()) {
+            return new ClaimRound.Decision.Unavailable();
+        }
         Deadline voteDeadline = deadline.earlier(Deadline.after(time, VOTE_TIMEOUT));
         BlockingQueue<Vote> votes = new LinkedBlockingQueue<>();
         ClaimVoteRequest request = new ClaimVoteRequest(group.index(), group.epoch(), claim);
