Reasons in the steps of a request have no blanks

anvilpick explain showed a step only up to the first blank of its reason, and no step after it: a value of a log line ends at a blank, and reasons such as 'answer too large' or 'write failed: ...' have some. Commas split a step in two. Both, and quotes, are written as an underscore now.

--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryTrace.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryTrace.java
@@ -1,5 +1,6 @@
 package io.anvilpick.entry;
 
+import com.google.common.base.CharMatcher;
 import io.anvilpick.calls.TargetReply;
 import io.anvilpick.dispatch.Assignment;
 import io.anvilpick.dispatch.TargetNotice;
@@ -13,6 +14,9 @@
 final class EntryTrace {
     private static final int MAX_STEPS = 12;
 
+    /** Characters of reasons that have a meaning in a log line, where a step ends at a blank or a comma. */
+    private static final CharMatcher SEPARATORS = CharMatcher.whitespace().or(CharMatcher.anyOf(",\""));
+
     private final EntryRequest request;
     private final TimeSource time;
     private final StringBuilder steps = new StringBuilder();
@@ -51,7 +55,8 @@
     }
 
     synchronized void replied(Assignment assignment, TargetReply reply) {
-        addStep(labelOf(reply) + ":" + assignment.target().id());
+        addStep(SEPARATORS.replaceFrom(labelOf(reply), '_') + ":"
+                + assignment.target().id());
     }
 
     synchronized int sends() {
