A head that cannot be read back leaves the outcome of a change unknown

An operator whose write of a new version had lost its answer got an error about the stored configuration, as if the change had not been sent, when the read-back could not use what it found. Whether the change was accepted is unknown then, and AcceptResult has a value for that.

--- a/anvilpick-core/src/main/java/io/anvilpick/config/ConfigurationAcceptor.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/config/ConfigurationAcceptor.java
@@ -37,8 +37,8 @@
      * by an earlier attempt is reported as accepted and not written again.
      *
      * @throws PlatformException if the platform failed before the write of the head was sent
-     * @throws ConfigurationException if the stored configuration cannot be fetched or used, possibly after the write of
-     *     the head was sent, or if the private key cannot be used
+     * @throws ConfigurationException if the stored configuration cannot be fetched or used before the write of the
+     *     head was sent, or if the private key cannot be used
      */
     public AcceptResult accept(Change change) throws PlatformException, ConfigurationException {
         Optional<ConfigurationStore.Stored> stored = store.load(null);
@@ -90,7 +90,7 @@
                 parts.buckets());
     }
 
-    private AcceptResult writeHead(Change change, SignedHead signed, long revision) throws ConfigurationException {
+    private AcceptResult writeHead(Change change, SignedHead signed, long revision) {
         try {
             WriteResult written = store.writeHead(signed, revision);
             return switch (written) {
@@ -103,7 +103,7 @@
     }
 
     /** Reads the stored head to find out whether a write took effect or another change was accepted first. */
-    private AcceptResult readBack(Change change) throws ConfigurationException {
+    private AcceptResult readBack(Change change) {
         String reason = "";
         for (int attempt = 0; attempt < READ_BACK_ATTEMPTS; attempt++) {
             try {
@@ -117,7 +117,7 @@
                             : outcome.get();
                 }
                 reason = "the write is not visible yet and may still take effect";
-            } catch (PlatformException e) {
+            } catch (PlatformException | ConfigurationException e) {
                 reason = e.getMessage();
             }
         }
--- a/anvilpick-core/src/test/java/io/anvilpick/config/ConfigurationAcceptorTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/config/ConfigurationAcceptorTest.java
@@ -96,6 +96,14 @@
         assertTrue(platform.headsWritten().isEmpty());
     }
 
+    /** Guards against a read-back that fails on a part and is reported as a change that was not accepted. */
+    @Test
+    void headThatCannotBeReadBackLeavesTheOutcomeUnknown() throws Exception {
+        acceptFirst(1_001, 0, "one");
+        platform.failNextHeadWrite("not a head");
+        assertInstanceOf(AcceptResult.Unknown.class, acceptFirst(1_002, 1, "two"));
+    }
+
     /** Parts and history never change, so a write of them without an answer is repeated. The head is read back. */
     @Test
     void lostAnswersAloneDoNotFailAcceptance() throws Exception {
--- a/anvilpick-core/src/test/java/io/anvilpick/config/FakePlatform.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/config/FakePlatform.java
@@ -23,6 +23,7 @@
     private int refusedPercent;
     private long lastRevision;
     private boolean unavailable;
+    private Optional<String> headStoredInstead = Optional.empty();
 
     /** Creates an empty platform. */
     public FakePlatform(long seed) {
@@ -40,6 +41,11 @@
         unavailable = value;
     }
 
+    /** Makes the next write of the head lose its answer, and stores {@code stored} in its place. */
+    public void failNextHeadWrite(String stored) {
+        headStoredInstead = Optional.of(stored);
+    }
+
     /** Stores a value regardless of the current revision. */
     public void put(String key, String value) {
         entries.put(key, new Entry(key, value, ++lastRevision));
@@ -90,6 +96,11 @@
             if (revision != expectedRevision) {
                 return new WriteResult.Conflict(revision);
             }
+            if (key.equals(ConfigurationStore.HEAD_KEY) && headStoredInstead.isPresent()) {
+                put(key, headStoredInstead.get());
+                headStoredInstead = Optional.empty();
+                throw new PlatformException(PlatformException.Effect.UNKNOWN, "answer lost");
+            }
             entries.put(key, new Entry(key, value, ++lastRevision));
             if (key.equals(ConfigurationStore.HEAD_KEY)) {
                 headsWritten.add(value);
