Private keys of operators are not printed

The records that hold an operator's private key printed it with toString(), so a log line or an error text with one of them would have shown it. No line of the code printed one.

--- a/anvilpick-core/src/main/java/io/anvilpick/config/ConfigurationAcceptor.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/config/ConfigurationAcceptor.java
@@ -23,7 +23,13 @@
      * @param changeId random identifier of the change, which stays the same when the change is retried
      * @param privateKey the operator's private key, in Base64
      */
-    public record Change(Configuration configuration, long expectedVersion, String changeId, String privateKey) {}
+    public record Change(Configuration configuration, long expectedVersion, String changeId, String privateKey) {
+        /** Returns a text without the private key. */
+        @Override
+        public String toString() {
+            return "Change[expectedVersion=" + expectedVersion + ", changeId=" + changeId + "]";
+        }
+    }
 
     /** Creates an acceptor that writes to {@code store}. */
     public ConfigurationAcceptor(ConfigurationStore store, ConfigurationCodec codec, TimeSource time) {
--- a/anvilpick-core/src/main/java/io/anvilpick/config/Signatures.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/config/Signatures.java
@@ -16,7 +16,13 @@
     private static final String ALGORITHM = "Ed25519";
 
     /** The key pair of an operator, each key in Base64. */
-    public record Keys(String privateKey, String publicKey) {}
+    public record Keys(String privateKey, String publicKey) {
+        /** Returns a text without the private key. */
+        @Override
+        public String toString() {
+            return "Keys[publicKey=" + publicKey + "]";
+        }
+    }
 
     private Signatures() {}
 
--- a/anvilpick-core/src/test/java/io/anvilpick/config/ConfigurationAcceptorTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/config/ConfigurationAcceptorTest.java
@@ -1,6 +1,7 @@
 package io.anvilpick.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -104,6 +105,16 @@
         assertInstanceOf(AcceptResult.Unknown.class, acceptFirst(1_002, 1, "two"));
     }
 
+    /** Guards against the private key of an operator in a log line or an error text. */
+    @Test
+    void privateKeyIsNotPrinted() {
+        String key = Samples.FIRST.privateKey();
+        ConfigurationAcceptor.Change change =
+                new ConfigurationAcceptor.Change(Samples.configuration(Samples.firstContract(), 1, 1), 0, "id", key);
+        assertFalse(Samples.FIRST.toString().contains(key));
+        assertFalse(change.toString().contains(key));
+    }
+
     /** Parts and history never change, so a write of them without an answer is repeated. The head is read back. */
     @Test
     void lostAnswersAloneDoNotFailAcceptance() throws Exception {
