A closed server of the inner protocol closes its connections

PeerServer.close stopped listening, but went on answering on the connections that it had accepted. Other daemons kept sending to a daemon that was being closed. The accepted connections are in a group that is closed too.

--- a/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerServer.java
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerServer.java
@@ -11,8 +11,11 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import org.jboss.logging.Logger;
@@ -22,9 +25,11 @@
     private static final Logger LOG = Logger.getLogger(PeerServer.class);
 
     private final Channel channel;
+    private final ChannelGroup connections;
 
-    private PeerServer(Channel channel) {
+    private PeerServer(Channel channel, ChannelGroup connections) {
         this.channel = channel;
+        this.connections = connections;
     }
 
     /**
@@ -35,6 +40,7 @@
      */
     public static PeerServer listen(EventLoopGroup group, InetSocketAddress address, PeerHandler handler)
             throws InterruptedException {
+        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
         Channel channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -42,6 +48,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel connection) {
+                        connections.add(connection);
                         Frames.addTo(connection.pipeline());
                         connection.pipeline().addLast(new RequestHandler(handler));
                     }
@@ -49,7 +56,7 @@
                 .bind(address)
                 .sync()
                 .channel();
-        return new PeerServer(channel);
+        return new PeerServer(channel, connections);
     }
 
     /** Returns the port on which the server listens. */
@@ -57,9 +64,11 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
+    /** Stops listening and closes the accepted connections. Replies that have not been sent are lost. */
     @Override
     public void close() {
         channel.close().syncUninterruptibly();
+        connections.close().awaitUninterruptibly();
     }
 
     /** Answers the requests of one connection. */
