A view counts as delivered only once the dispatchers have taken it

What callers would see: after one error while a view was applied (such as the StackOverflowError of the incident), requests of services that had not been updated yet went on to targets that had left, or found no target at a new service, until the next change of any target, daemon or configuration. The follower read the whole store again after the error, and that changed nothing.

Cause: FleetState.publish replaced the view before it called the listener, so the next view was equal and nobody was called. EntryDispatchers.update stopped at the first service that failed. A dispatcher that was configured in part kept that part when the content went back to the one before. What was applied of a change before it failed was in no view until the next change.

The current view is replaced first: one service that fails must not keep all routes at the old version. All services are tried, the first error is thrown after that, and a service whose update has not finished is configured again.

mvn -pl anvilpick-core -am test -Dtest=FleetStateTest,EntryDispatchersTest before the change: 15 tests run, 4 failed, which are errorInOneServiceDoesNotKeepTheOthersFromBeingUpdated (expected 2, was 0), viewThatTheListenerFailedToTakeIsDeliveredByTheNextReadThoughNothingChanged, ...ByTheNextCheckForLapsed- Registrations (nothing delivered) and changesBeforeAFailureAreInTheViewAfterTheNextCheckForLapsed- Registrations (expected [a], was []). With the change, with FleetSyncTest, RelayTest and EntryRunnerTest: 58 run, none failed. viewAfterAFailedOneIsDeliveredThoughItEqualsTheOneBefore passes before and after.

--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
@@ -1,5 +1,6 @@
 package io.anvilpick.entry;
 
+import com.google.common.base.Throwables;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.anvilpick.config.ServiceConfig;
@@ -11,13 +12,17 @@
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.fleet.RegisteredTarget;
 import io.anvilpick.limits.WindowBudget;
-import io.anvilpick.routes.RouteConfiguration;
+import io.anvilpick.routes.RouteConfiguration.ServiceSettings;
 import io.anvilpick.shard.Shards;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -45,11 +50,21 @@
     private volatile int daemons = 1;
     private volatile @Nullable Deadline end;
 
+    /**
+     * The dispatcher of one service and what was last applied to it.
+     *
+     * @param finished whether all of that was applied; false while an update runs and after one that failed
+     */
     private record Row(
             Dispatcher dispatcher,
             WindowBudget budget,
             ImmutableList<RegisteredTarget> targets,
-            ServiceConfig service) {}
+            ServiceConfig service,
+            boolean finished) {
+        private Row unfinished() {
+            return new Row(dispatcher, budget, targets, service, false);
+        }
+    }
 
     /** Creates an empty set of dispatchers for a daemon in {@code zone}. */
     public EntryDispatchers(TimeSource time, Supplier<RandomGenerator> random, SharedBudget budget, String zone) {
@@ -63,27 +78,42 @@
      * Applies the services, targets and number of daemons in {@code view}. Calls in flight and the measurements of the
      * dispatchers are kept, and so are the dispatchers of services that are no longer configured: calls may still wait in them,
      * so they follow the targets too. Has no effect if {@code view} has no configuration.
+     *
+     * <p>An error in one service does not keep the others from being updated. It is thrown once all have been tried, and the next
+     * call updates that service again.
      */
     public void update(FleetView view) {
         if (view.configuration().isEmpty()) {
             return;
         }
-        RouteConfiguration configuration = view.configuration().get();
         daemons = Math.max(1, view.members().size());
-        configuration
-                .services()
-                .forEach((name, settings) -> rows.withShardOf(
-                        name,
-                        shard -> shard.put(
-                                name,
-                                updated(
-                                        shard.getOrDefault(name, newRow(name)),
-                                        settings.connectionsPerTarget(),
-                                        view))));
-        rows.forEach(shard ->
-                shard.replaceAll((name, row) -> configuration.services().containsKey(name)
-                        ? row
-                        : updated(row, row.service().connectionsPerTarget(), view)));
+        Set<String> names =
+                new LinkedHashSet<>(view.configuration().get().services().keySet());
+        rows.forEach(shard -> names.addAll(shard.keySet()));
+        List<Throwable> errors = new ArrayList<>();
+        for (String name : names) {
+            try {
+                update(name, view);
+            } catch (RuntimeException | Error e) {
+                errors.add(e);
+            }
+        }
+        if (!errors.isEmpty()) {
+            Throwable first = errors.removeFirst();
+            errors.stream().filter(error -> error != first).forEach(first::addSuppressed);
+            Throwables.throwIfUnchecked(first);
+        }
+    }
+
+    private void update(String name, FleetView view) {
+        ServiceSettings settings = view.configuration().orElseThrow().services().get(name);
+        rows.<@Nullable Void>withShardOf(name, shard -> {
+            Row row = shard.computeIfAbsent(name, this::newRow);
+            int connections = settings == null ? row.service().connectionsPerTarget() : settings.connectionsPerTarget();
+            shard.put(name, row.unfinished());
+            shard.put(name, updated(row, connections, view));
+            return null;
+        });
     }
 
     private Row updated(Row row, int connectionsPerTarget, FleetView view) {
@@ -91,11 +121,11 @@
         ImmutableList<RegisteredTarget> targets = view.targets().getOrDefault(name, ImmutableList.of());
         applyBudget(row.budget());
         ServiceConfig service = serviceOf(name, connectionsPerTarget, targets);
-        if (row.targets() != targets || !row.service().equals(service)) {
+        row.dispatcher().setDaemonCount(daemons);
+        if (!row.finished() || row.targets() != targets || !row.service().equals(service)) {
             row.dispatcher().configure(service, traitsOf(targets));
         }
-        row.dispatcher().setDaemonCount(daemons);
-        return new Row(row.dispatcher(), row.budget(), targets, service);
+        return new Row(row.dispatcher(), row.budget(), targets, service, true);
     }
 
     /** Replaces the shared budget. Extra calls already counted stay counted, and the window is not changed. */
@@ -143,7 +173,7 @@
             dispatcher.stopBy(stop);
         }
         ServiceConfig unconfigured = serviceOf(name, 1, ImmutableList.of());
-        return new Row(dispatcher, own, ImmutableList.of(), unconfigured);
+        return new Row(dispatcher, own, ImmutableList.of(), unconfigured, true);
     }
 
     private static ServiceConfig serviceOf(String name, int connections, ImmutableList<RegisteredTarget> targets) {
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -47,10 +47,17 @@
     private long graceEndNanos;
     private volatile FleetView view = FleetView.empty();
 
+    /** The last view that the listener has taken. It is another object than {@link #view} until the listener has taken that. */
+    private FleetView deliveredView = view;
+
+    /** Whether the content may have changed since the view was made. */
+    private boolean changed;
+
     /**
      * Creates an empty state.
      *
-     * @param listener receives each new view in order; it is called under the lock and must not block
+     * @param listener receives each new view in order; it is called under the lock and must not block. A view counts as delivered
+     *     once the listener has returned. If it throws, the next change, read or call of {@link #expire} delivers the view again.
      */
     public FleetState(TimeSource time, Consumer<FleetView> listener) {
         this.time = time;
@@ -94,6 +101,7 @@
     public void apply(Iterable<FleetChange> changes) {
         lock.lock();
         try {
+            changed = true;
             changes.forEach(this::apply);
             dropLapsed();
             publish();
@@ -106,6 +114,7 @@
     public void replaceAll(Iterable<FleetChange> entries) {
         lock.lock();
         try {
+            changed = true;
             Set<String> registeredTargets = new HashSet<>();
             Set<String> registeredMembers = new HashSet<>();
             for (FleetChange entry : entries) {
@@ -129,11 +138,15 @@
         }
     }
 
-    /** Removes lapsed registrations whose owners have not registered again in time. */
+    /** Removes lapsed registrations whose owners have not registered again in time, and delivers a view that is not delivered yet. */
     public void expire() {
         lock.lock();
         try {
-            if (dropLapsed()) {
+            if (targets.hasLapsed() || members.hasLapsed()) {
+                changed = true;
+                dropLapsed();
+            }
+            if (changed || view != deliveredView) {
                 publish();
             }
         } finally {
@@ -174,13 +187,25 @@
                 next.services().size());
     }
 
-    private boolean dropLapsed() {
+    private void dropLapsed() {
         boolean inGracePeriod = storeUnavailable || time.nanos() - graceEndNanos < 0;
-        boolean targetsDropped = targets.dropLapsed(inGracePeriod);
-        return members.dropLapsed(inGracePeriod) || targetsDropped;
+        targets.dropLapsed(inGracePeriod);
+        members.dropLapsed(inGracePeriod);
     }
 
     private void publish() {
+        FleetView next = currentView();
+        if (!Objects.equals(next, view)) {
+            view = next;
+        }
+        changed = false;
+        if (view != deliveredView) {
+            listener.accept(view);
+            deliveredView = view;
+        }
+    }
+
+    private FleetView currentView() {
         Map<String, ImmutableList.Builder<RegisteredTarget>> byService = new TreeMap<>();
         for (RegisteredTarget target : targets.all()) {
             if (!target.config().leaving()) {
@@ -195,12 +220,8 @@
             ImmutableList<RegisteredTarget> before = view.targets().get(service);
             lists.put(service, before != null && before.equals(list) ? before : list);
         });
-        FleetView next = new FleetView(
+        return new FleetView(
                 Optional.ofNullable(configuration), lists.buildOrThrow(), ImmutableList.copyOf(members.all()));
-        if (!Objects.equals(next, view)) {
-            view = next;
-            listener.accept(next);
-        }
     }
 
     /** Registrations of one kind, including lapsed ones whose owners may register again. */
@@ -241,11 +262,14 @@
                     .forEach(this::remove);
         }
 
+        private boolean hasLapsed() {
+            return !lapsed.isEmpty();
+        }
+
         /**
-         * Removes lapsed registrations, and returns whether it removed any. In the grace period it keeps those of a group
-         * of which more than half have lapsed.
+         * Removes lapsed registrations. In the grace period it keeps those of a group of which more than half have lapsed.
          */
-        private boolean dropLapsed(boolean inGracePeriod) {
+        private void dropLapsed(boolean inGracePeriod) {
             List<String> dropped = new ArrayList<>();
             lapsed.forEach((id, registration) -> {
                 if (!inGracePeriod || !hasMostlyLapsed(groupOf.apply(registration))) {
@@ -257,7 +281,6 @@
                 lapsed.remove(id);
                 LOG.infof("event=%s_gone id=%s", kind, id);
             }
-            return !dropped.isEmpty();
         }
 
         private boolean hasMostlyLapsed(String group) {
--- a/anvilpick-core/src/test/java/io/anvilpick/entry/EntryDispatchersTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/entry/EntryDispatchersTest.java
@@ -1,6 +1,7 @@
 package io.anvilpick.entry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -14,7 +15,9 @@
 import io.anvilpick.time.ManualTimeSource;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 class EntryDispatchersTest {
@@ -39,4 +42,42 @@
                 List.of("b"),
                 dispatcher.targets().stream().map(target -> target.id()).toList());
     }
+
+    /** Guards against services that get no new targets because the update of another one failed. */
+    @Test
+    void errorInOneServiceDoesNotKeepTheOthersFromBeingUpdated() {
+        AtomicInteger created = new AtomicInteger();
+        EntryDispatchers failing = new EntryDispatchers(
+                time,
+                () -> {
+                    if (created.incrementAndGet() == 1) {
+                        throw new StackOverflowError();
+                    }
+                    return new SplittableRandom(3);
+                },
+                new SharedBudget(0.2, 100, Duration.ofSeconds(10)),
+                "z");
+        FleetState updated = new FleetState(time, failing::update);
+        List<FleetChange> changes = List.of(
+                new FleetChange.ConfigurationWritten(withServices("s", "t", "u")),
+                new FleetChange.TargetRegistered(FleetSamples.target("a", "s", false)),
+                new FleetChange.TargetRegistered(FleetSamples.target("b", "t", false)),
+                new FleetChange.TargetRegistered(FleetSamples.target("c", "u", false)));
+        assertThrows(StackOverflowError.class, () -> updated.apply(changes));
+        assertEquals(2, failing.all().size());
+        updated.expire();
+        assertEquals(Set.of("s", "t", "u"), failing.all().keySet());
+        failing.all()
+                .values()
+                .forEach(dispatcher -> assertEquals(1, dispatcher.targets().size()));
+    }
+
+    private static RouteConfiguration withServices(String... names) {
+        ImmutableMap.Builder<String, RouteConfiguration.ServiceSettings> services = ImmutableMap.builder();
+        for (String name : names) {
+            services.put(name, new RouteConfiguration.ServiceSettings("/healthz", 100));
+        }
+        return new RouteConfiguration(
+                1, RouteTable.of(ImmutableList.of()), services.buildOrThrow(), new RequestLimits(1_000));
+    }
 }
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
@@ -1,16 +1,20 @@
 package io.anvilpick.fleet;
 
+import static com.google.common.base.Preconditions.checkState;
 import static io.anvilpick.fleet.FleetSamples.configuration;
 import static io.anvilpick.fleet.FleetSamples.member;
 import static io.anvilpick.fleet.FleetSamples.target;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableList;
 import io.anvilpick.time.ManualTimeSource;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 class FleetStateTest {
@@ -130,4 +134,71 @@
         state.apply(List.of(new FleetChange.TargetRegistered(target("x", "other", false))));
         assertSame(before, state.view().targets().get("s"));
     }
+
+    /** Guards against dispatchers that keep an old view for good after one failed update. */
+    @Test
+    void viewThatTheListenerFailedToTakeIsDeliveredByTheNextReadThoughNothingChanged() {
+        FailingOnceListener listener = new FailingOnceListener();
+        FleetState failing = new FleetState(time, listener::accept);
+        List<FleetChange> changes = List.of(new FleetChange.ConfigurationWritten(configuration(7)));
+        assertThrows(StackOverflowError.class, () -> failing.apply(changes));
+        failing.replaceAll(changes);
+        assertEquals(List.of(failing.view()), listener.delivered);
+        failing.replaceAll(changes);
+        assertEquals(List.of(failing.view()), listener.delivered);
+    }
+
+    /** Guards against dispatchers that keep an old view until the next change after one failed update. */
+    @Test
+    void viewThatTheListenerFailedToTakeIsDeliveredByTheNextCheckForLapsedRegistrations() {
+        FailingOnceListener listener = new FailingOnceListener();
+        FleetState failing = new FleetState(time, listener::accept);
+        List<FleetChange> changes = List.of(new FleetChange.TargetRegistered(target("a", "s", false)));
+        assertThrows(StackOverflowError.class, () -> failing.apply(changes));
+        failing.expire();
+        assertEquals(List.of(failing.view()), listener.delivered);
+        failing.expire();
+        assertEquals(List.of(failing.view()), listener.delivered);
+    }
+
+    /** Guards against dispatchers that keep a part of a failed view because the content went back to that before it. */
+    @Test
+    void viewAfterAFailedOneIsDeliveredThoughItEqualsTheOneBefore() {
+        FailingOnceListener listener = new FailingOnceListener();
+        listener.failed = true;
+        FleetState failing = new FleetState(time, listener::accept);
+        failing.apply(List.of(new FleetChange.TargetRegistered(target("a", "s", false))));
+        listener.failed = false;
+        List<FleetChange> leaving = List.of(new FleetChange.TargetRegistered(target("a", "s", true)));
+        assertThrows(StackOverflowError.class, () -> failing.apply(leaving));
+        failing.apply(List.of(new FleetChange.TargetRegistered(target("a", "s", false))));
+        assertEquals(2, listener.delivered.size());
+        assertSame(failing.view(), listener.delivered.getLast());
+    }
+
+    /** Guards against a change that was applied in part and reaches nobody until the next one. */
+    @Test
+    void changesBeforeAFailureAreInTheViewAfterTheNextCheckForLapsedRegistrations() {
+        Iterable<FleetChange> changes = () -> Stream.<FleetChange>of(
+                        new FleetChange.TargetRegistered(target("a", "s", false)),
+                        new FleetChange.TargetRegistered(target("b", "s", false)))
+                .peek(change -> checkState(!change.equals(new FleetChange.TargetRegistered(target("b", "s", false)))))
+                .iterator();
+        assertThrows(IllegalStateException.class, () -> state.apply(changes));
+        state.expire();
+        assertEquals(List.of("a"), ids());
+    }
+
+    private static final class FailingOnceListener {
+        private final List<FleetView> delivered = new ArrayList<>();
+        private boolean failed;
+
+        private void accept(FleetView view) {
+            if (!failed) {
+                failed = true;
+                throw new StackOverflowError();
+            }
+            delivered.add(view);
+        }
+    }
 }
