Metrics and one log line show a configuration that cannot be read, and unreadable entries by kind

What operators saw: a daemon that routed by an old configuration because the newer one was unreadable showed one entry_unreadable line, equal to that of any foreign entry, and nothing on /metrics. Entries that a foreign writer repeats were logged at each read.

Now: anvilpick_configuration_unreadable (0 or 1), anvilpick_configuration_unreadable_version (0 if not known), anvilpick_unreadable_entries{kind}, and the event configuration_unreadable with key, version, version in force and reason. An item is logged when it becomes unreadable or its reason changes. A configuration counts as newer until one of its version or a later one is read; an older one that comes from a daemon that lags behind does not clear it.

The tests do not compile without the new accessors, so there is no run in which they fail otherwise. FleetStateTest and EntryDaemonTest changed where they build an Unreadable (one argument more) or settings (the ports of a second daemon), with the same assertions.

--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetChange.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetChange.java
@@ -1,6 +1,7 @@
 package io.anvilpick.fleet;
 
 import io.anvilpick.routes.RouteConfiguration;
+import java.util.OptionalLong;
 
 /** A change of the fleet, decoded from an item of the store. */
 public sealed interface FleetChange {
@@ -25,6 +26,28 @@
      * <p>If it is a target's registration, a {@link TargetRemoved} goes with it, as its previous content no longer holds. For
      * other items the previous content stays valid, except that a read of the whole store removes a daemon whose registration is
      * unreadable.
+     *
+     * @param key key in the store, for log lines
+     * @param subject what the item describes, according to its key
      */
-    record Unreadable(String key, String reason) implements FleetChange {}
+    record Unreadable(String key, Subject subject, String reason) implements FleetChange {}
+
+    /** What an item of the store describes. */
+    sealed interface Subject {
+        /**
+         * The configuration.
+         *
+         * @param version its version; empty if that cannot be read either
+         */
+        record Configuration(OptionalLong version) implements Subject {}
+
+        /** The registration of target {@code id}. */
+        record Target(String id) implements Subject {}
+
+        /** The registration of daemon {@code name}. */
+        record Member(String name) implements Subject {}
+
+        /** Something that daemons do not use. */
+        record Other(String key) implements Subject {}
+    }
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -42,6 +42,7 @@
     private final Consumer<FleetView> listener;
     private final Registrations<RegisteredTarget> targets = new Registrations<>("target", RegisteredTarget::service);
     private final Registrations<EntryMember> members = new Registrations<>("member", EntryMember::region);
+    private final UnreadableItems unreadable = new UnreadableItems();
     private @Nullable RouteConfiguration configuration;
     private boolean storeUnavailable;
     private long graceEndNanos;
@@ -70,6 +71,19 @@
         return view;
     }
 
+    /** Returns how often an unreadable item was read. */
+    public UnreadableCounts unreadableCounts() {
+        return unreadable.counts();
+    }
+
+    /**
+     * Returns the configuration in the store, if it is unreadable and not known to be older than the one in force. The one in
+     * force then stays so.
+     */
+    public Optional<FleetChange.Subject.Configuration> unreadableConfiguration() {
+        return unreadable.newerConfiguration();
+    }
+
     /** Records that the store did not answer, for {@code reason}. */
     public void onStoreUnavailable(String reason) {
         lock.lock();
@@ -157,19 +171,26 @@
     private void apply(FleetChange change) {
         switch (change) {
             case FleetChange.ConfigurationWritten written -> replaceConfiguration(written.configuration());
-            case FleetChange.TargetRegistered registered ->
-                targets.put(registered.target().id(), registered.target());
+            case FleetChange.TargetRegistered(RegisteredTarget target) -> {
+                targets.put(target.id(), target);
+                unreadable.remove(new FleetChange.Subject.Target(target.id()));
+            }
             case FleetChange.TargetRemoved removed -> targets.remove(removed.id());
-            case FleetChange.MemberRegistered registered ->
-                members.put(registered.member().name(), registered.member());
+            case FleetChange.MemberRegistered(EntryMember member) -> {
+                members.put(member.name(), member);
+                unreadable.remove(new FleetChange.Subject.Member(member.name()));
+            }
             case FleetChange.MemberRemoved removed -> members.remove(removed.name());
-            case FleetChange.Unreadable unreadable ->
-                LOG.warnf("event=entry_unreadable key=%s reason=\"%s\"", unreadable.key(), unreadable.reason());
+            case FleetChange.Unreadable item ->
+                unreadable.add(item, configuration == null ? 0 : configuration.version());
         }
     }
 
     private void replaceConfiguration(RouteConfiguration next) {
         long currentVersion = configuration == null ? 0 : configuration.version();
+        if (next.version() >= currentVersion) {
+            unreadable.removeConfiguration(next.version());
+        }
         if (configuration != null && next.version() <= currentVersion) {
             if (next.version() < currentVersion) {
                 LOG.warnf(
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
 import io.anvilpick.time.ManualTimeSource;
@@ -14,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
@@ -123,10 +125,45 @@
         registerTargets("a");
         state.apply(List.of(new FleetChange.ConfigurationWritten(configuration(7))));
         FleetView before = state.view();
-        state.apply(List.of(new FleetChange.Unreadable("op/config", "no JSON")));
+        state.apply(List.of(unreadableConfiguration(OptionalLong.empty())));
         assertSame(before, state.view());
     }
 
+    private static FleetChange unreadableConfiguration(OptionalLong version) {
+        return new FleetChange.Unreadable("op/config", new FleetChange.Subject.Configuration(version), "no JSON");
+    }
+
+    /** Guards against an old configuration in force that nothing shows but one line of log. */
+    @Test
+    void newerConfigurationThatIsUnreadableIsShownUntilAnotherTakesEffect() {
+        state.apply(List.of(new FleetChange.ConfigurationWritten(configuration(7))));
+        state.apply(List.of(unreadableConfiguration(OptionalLong.of(6))));
+        assertEquals(Optional.empty(), state.unreadableConfiguration());
+        state.apply(List.of(unreadableConfiguration(OptionalLong.of(9))));
+        assertEquals(
+                Optional.of(new FleetChange.Subject.Configuration(OptionalLong.of(9))),
+                state.unreadableConfiguration());
+        state.apply(List.of(new FleetChange.ConfigurationWritten(configuration(8))));
+        assertTrue(state.unreadableConfiguration().isPresent());
+        state.apply(List.of(new FleetChange.ConfigurationWritten(configuration(10))));
+        assertEquals(Optional.empty(), state.unreadableConfiguration());
+        state.apply(List.of(unreadableConfiguration(OptionalLong.empty())));
+        assertTrue(state.unreadableConfiguration().isPresent());
+        state.replaceAll(List.of(new FleetChange.ConfigurationWritten(configuration(10))));
+        assertEquals(Optional.empty(), state.unreadableConfiguration());
+        assertEquals(new UnreadableCounts(3, 0, 0, 0), state.unreadableCounts());
+    }
+
+    @Test
+    void countsUnreadableItemsByWhatTheyDescribe() {
+        state.apply(List.of(
+                new FleetChange.Unreadable("t/a", new FleetChange.Subject.Target("a"), "no JSON"),
+                new FleetChange.Unreadable("m/a", new FleetChange.Subject.Member("a"), "no JSON"),
+                new FleetChange.Unreadable("m/b", new FleetChange.Subject.Member("b"), "no JSON"),
+                new FleetChange.Unreadable("x", new FleetChange.Subject.Other("x"), "no base64")));
+        assertEquals(new UnreadableCounts(0, 1, 2, 1), state.unreadableCounts());
+    }
+
     @Test
     void unchangedListOfTargetsStaysTheSameObject() {
         registerTargets("a");
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -157,6 +157,15 @@
         metrics.gauge(
                 "anvilpick_configuration_version",
                 () -> state.view().configuration().map(each -> each.version()).orElse(0L));
+        metrics.gauge(
+                "anvilpick_configuration_unreadable",
+                () -> state.unreadableConfiguration().isPresent() ? 1 : 0);
+        metrics.gauge(
+                "anvilpick_configuration_unreadable_version",
+                () -> state.unreadableConfiguration()
+                        .map(each -> each.version().orElse(0))
+                        .orElse(0L));
+        metrics.unreadableEntries(state::unreadableCounts);
     }
 
     /** Starts to follow the store and to listen. Blocks until the daemon listens. */
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/EntryMetrics.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/EntryMetrics.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.anvilpick.entry.EntryCounts;
 import io.anvilpick.error.ErrorKind;
+import io.anvilpick.fleet.UnreadableCounts;
 import io.prometheus.client.dropwizard.samplebuilder.MapperConfig;
 import java.util.List;
 import java.util.Locale;
@@ -25,7 +26,8 @@
                     new MapperConfig("abandoned.*", "anvilpick_requests_abandoned", Map.of("route", "${0}")),
                     new MapperConfig("retries.*", "anvilpick_retries", Map.of("service", "${0}")),
                     new MapperConfig("hedges.*", "anvilpick_hedges", Map.of("service", "${0}")),
-                    new MapperConfig("loopFaults.*", "anvilpick_loop_faults", Map.of("loop", "${0}"))));
+                    new MapperConfig("loopFaults.*", "anvilpick_loop_faults", Map.of("loop", "${0}")),
+                    new MapperConfig("unreadable.*", "anvilpick_unreadable_entries", Map.of("kind", "${0}"))));
 
     @Override
     public void answered(String route, int status, long nanos) {
@@ -61,6 +63,14 @@
         registry.counter(MetricRegistry.name("loopFaults", name)).inc();
     }
 
+    /** Adds the counts of reads of unreadable entries, by kind. */
+    public void unreadableEntries(Supplier<UnreadableCounts> counts) {
+        gauge("unreadable.configuration", () -> counts.get().configurations());
+        gauge("unreadable.target", () -> counts.get().targets());
+        gauge("unreadable.member", () -> counts.get().members());
+        gauge("unreadable.other", () -> counts.get().others());
+    }
+
     /** Adds a gauge {@code name} whose value is supplied by {@code value}. */
     public void gauge(String name, Supplier<Number> value) {
         registry.registerGauge(name, value::get);
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
@@ -22,6 +22,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -37,21 +38,25 @@
     private static final int METRICS_PORT = 20_002;
     private static final int PEER_PORT = 20_003;
 
+    /** Distance to the ports of a second daemon. The first one's peer port stays open after its shutdown. */
+    private static final int SECOND_DAEMON = 10;
+
     private final CountDownLatch hasConfiguration = new CountDownLatch(1);
     private final FixedStore store = new FixedStore(ITEM, hasConfiguration);
     private final String address = Loopback.exclusiveAddress();
     private final EntryDaemon daemon = EntryDaemon.builder()
-            .settings(settings())
+            .settings(settings(0))
             .store(store)
             .decoder(item -> ImmutableList.of(new FleetChange.ConfigurationWritten(configuration())))
             .headers(NAMES)
             .build();
 
-    private EntrySettings settings() {
-        EntryMember self = new EntryMember("a", address + ":" + CALL_PORT, address + ":" + PEER_PORT, "r", "z");
+    private EntrySettings settings(int distance) {
+        EntryMember self = new EntryMember(
+                "a", address + ":" + (CALL_PORT + distance), address + ":" + (PEER_PORT + distance), "r", "z");
         return EntrySettings.builder(self)
-                .callAddress(new InetSocketAddress(address, CALL_PORT))
-                .metricsAddress(new InetSocketAddress(address, METRICS_PORT))
+                .callAddress(new InetSocketAddress(address, CALL_PORT + distance))
+                .metricsAddress(new InetSocketAddress(address, METRICS_PORT + distance))
                 .extraCalls(new SharedBudget(0.2, 10, Duration.ofSeconds(10)))
                 .grace(Duration.ofSeconds(1))
                 .addressesGoodFor(Duration.ofSeconds(2))
@@ -99,4 +104,34 @@
         assertFalse(daemon.isReady());
         assertEquals(List.of(), daemon.addressesFor("r", "z"));
     }
+
+    /** Guards against an old configuration in force that no page of the daemon shows. */
+    @Test
+    void metricsShowANewerConfigurationThatIsUnreadable() throws Exception {
+        EntryDaemon reading = EntryDaemon.builder()
+                .settings(settings(SECOND_DAEMON))
+                .store(store)
+                .decoder(item -> ImmutableList.of(
+                        new FleetChange.ConfigurationWritten(configuration()),
+                        new FleetChange.Unreadable(
+                                "c", new FleetChange.Subject.Configuration(OptionalLong.of(9)), "no JSON")))
+                .headers(NAMES)
+                .build();
+        hasConfiguration.countDown();
+        reading.start();
+        store.isFollowed.await();
+        List<String> lines = WebClient.of("http://" + address + ":" + (METRICS_PORT + SECOND_DAEMON))
+                .get("/metrics")
+                .aggregate()
+                .join()
+                .contentUtf8()
+                .lines()
+                .toList();
+        reading.shutDown();
+        assertTrue(lines.contains("anvilpick_configuration_version 1.0"), lines::toString);
+        assertTrue(lines.contains("anvilpick_configuration_unreadable 1.0"), lines::toString);
+        assertTrue(lines.contains("anvilpick_configuration_unreadable_version 9.0"), lines::toString);
+        assertTrue(lines.contains("anvilpick_unreadable_entries{kind=\"configuration\",} 1.0"), lines::toString);
+        assertTrue(lines.contains("anvilpick_unreadable_entries{kind=\"target\",} 0.0"), lines::toString);
+    }
 }
