Valid forms of a configuration that were refused are read

What callers would see: all routes at the old version after a confirmed change, as a configuration takes effect as a whole. PROTOCOL.md says that null means omitted and that the store accepts only valid ones, and does not say which fields may be omitted or how numbers are noted.

Read already: unknown columns and fields, an unknown protocol, fractions as weights, a version in capitals.

Registrations of targets and the settings file are read as strictly as before, as other writers write the former.

--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryRunner.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryRunner.java
@@ -121,8 +121,10 @@
     }
 
     private LoadProber proberOf(RouteConfiguration configuration, String service) {
-        RouteConfiguration.ServiceSettings settings = configuration.services().get(service);
-        return settings == null ? LoadProber.none() : new ParallelLoadProber(probes, settings.healthPath());
+        return Optional.ofNullable(configuration.services().get(service))
+                .flatMap(RouteConfiguration.ServiceSettings::healthPath)
+                .<LoadProber>map(path -> new ParallelLoadProber(probes, path))
+                .orElseGet(LoadProber::none);
     }
 
     private static Deadline deadlineAfter(EntryRequest request, long millis) {
--- a/anvilpick-core/src/main/java/io/anvilpick/routes/RouteConfiguration.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/routes/RouteConfiguration.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
 
 /**
  * The configuration of routes and services, which takes effect as a whole.
@@ -23,13 +24,19 @@
     /**
      * The settings of a service, apart from its targets.
      *
-     * @param healthPath path at which a target reports its health and load
+     * @param healthPath path at which a target reports its health and load; empty if it reports them in answers only
      * @param connectionsPerTarget maximum number of connections from all daemons to one target
      */
-    public record ServiceSettings(String healthPath, int connectionsPerTarget) {
+    public record ServiceSettings(Optional<String> healthPath, int connectionsPerTarget) {
         public ServiceSettings {
-            checkArgument(healthPath.startsWith("/"), "healthPath must begin with a slash: %s", healthPath);
+            healthPath.ifPresent(
+                    path -> checkArgument(path.startsWith("/"), "healthPath must begin with a slash: %s", path));
             checkArgument(connectionsPerTarget > 0, "connectionsPerTarget must be positive: %s", connectionsPerTarget);
         }
+
+        /** Creates the settings of a service with a health path. */
+        public ServiceSettings(String healthPath, int connectionsPerTarget) {
+            this(Optional.of(healthPath), connectionsPerTarget);
+        }
     }
 }
