--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -42,15 +42,23 @@
     private final Consumer<FleetView> listener;
     private final Registrations<RegisteredTarget> targets = new Registrations<>("target", RegisteredTarget::service);
     private final Registrations<EntryMember> members = new Registrations<>("member", EntryMember::region);
+    private final UnreadableItems unreadable = new UnreadableItems();
     private @Nullable RouteConfiguration configuration;
     private boolean storeUnavailable;
     private long graceEndNanos;
     private volatile FleetView view = FleetView.empty();
 
+    /** The last view that the listener has taken. It is another object than {@link #view} until the listener has taken that. */
+    private FleetView deliveredView = view;
+
+    /** Whether the content may have changed since the view was made. */
+    private boolean changed;
+
     /**
      * Creates an empty state.
      *
-     * @param listener receives each new view in order; it is called under the lock and must not block
+     * @param listener receives each new view in order; it is called under the lock and must not block. A view counts as delivered
+     *     once the listener has returned. If it throws, the next change, read or call of {@link #expire} delivers the view again.
      */
     public FleetState(TimeSource time, Consumer<FleetView> listener) {
         this.time = time;
@@ -63,6 +71,19 @@
         return view;
     }
 
+    /** Returns how often an unreadable item was read. */
+    public UnreadableCounts unreadableCounts() {
+        return unreadable.counts();
+    }
+
+    /**
+     * Returns the configuration in the store, if it is unreadable and not known to be older than the one in force. The one in
+     * force then stays so.
+     */
+    public Optional<FleetChange.Subject.Configuration> unreadableConfiguration() {
+        return unreadable.newerConfiguration();
+    }
+
     /** Records that the store did not answer, for {@code reason}. */
     public void onStoreUnavailable(String reason) {
         lock.lock();
@@ -94,6 +115,7 @@
     public void apply(Iterable<FleetChange> changes) {
         lock.lock();
         try {
+            changed = true;
             changes.forEach(this::apply);
             dropLapsed();
             publish();
@@ -106,6 +128,7 @@
     public void replaceAll(Iterable<FleetChange> entries) {
         lock.lock();
         try {
+            changed = true;
             Set<String> registeredTargets = new HashSet<>();
             Set<String> registeredMembers = new HashSet<>();
             for (FleetChange entry : entries) {
@@ -129,11 +152,15 @@
         }
     }
 
-    /** Removes lapsed registrations whose owners have not registered again in time. */
+    /** Removes lapsed registrations whose owners have not registered again in time, and delivers a view that is not delivered yet. */
     public void expire() {
         lock.lock();
         try {
-            if (dropLapsed()) {
+            if (targets.hasLapsed() || members.hasLapsed()) {
+                changed = true;
+                dropLapsed();
+            }
+            if (changed || view != deliveredView) {
                 publish();
             }
         } finally {
@@ -144,19 +171,26 @@
     private void apply(FleetChange change) {
         switch (change) {
             case FleetChange.ConfigurationWritten written -> replaceConfiguration(written.configuration());
-            case FleetChange.TargetRegistered registered ->
-                targets.put(registered.target().id(), registered.target());
+            case FleetChange.TargetRegistered(RegisteredTarget target) -> {
+                targets.put(target.id(), target);
+                unreadable.remove(new FleetChange.Subject.Target(target.id()));
+            }
             case FleetChange.TargetRemoved removed -> targets.remove(removed.id());
-            case FleetChange.MemberRegistered registered ->
-                members.put(registered.member().name(), registered.member());
+            case FleetChange.MemberRegistered(EntryMember member) -> {
+                members.put(member.name(), member);
+                unreadable.remove(new FleetChange.Subject.Member(member.name()));
+            }
             case FleetChange.MemberRemoved removed -> members.remove(removed.name());
-            case FleetChange.Unreadable unreadable ->
-                LOG.warnf("event=entry_unreadable key=%s reason=\"%s\"", unreadable.key(), unreadable.reason());
+            case FleetChange.Unreadable item ->
+                unreadable.add(item, configuration == null ? 0 : configuration.version());
         }
     }
 
     private void replaceConfiguration(RouteConfiguration next) {
         long currentVersion = configuration == null ? 0 : configuration.version();
+        if (next.version() >= currentVersion) {
+            unreadable.removeConfiguration(next.version());
+        }
         if (configuration != null && next.version() <= currentVersion) {
             if (next.version() < currentVersion) {
                 LOG.warnf(
@@ -174,13 +208,25 @@
                 next.services().size());
     }
 
-    private boolean dropLapsed() {
+    private void dropLapsed() {
         boolean inGracePeriod = storeUnavailable || time.nanos() - graceEndNanos < 0;
-        boolean targetsDropped = targets.dropLapsed(inGracePeriod);
-        return members.dropLapsed(inGracePeriod) || targetsDropped;
+        targets.dropLapsed(inGracePeriod);
+        members.dropLapsed(inGracePeriod);
     }
 
     private void publish() {
+        FleetView next = currentView();
+        if (!Objects.equals(next, view)) {
+            view = next;
+        }
+        changed = false;
+        if (view != deliveredView) {
+            listener.accept(view);
+            deliveredView = view;
+        }
+    }
+
+    private FleetView currentView() {
         Map<String, ImmutableList.Builder<RegisteredTarget>> byService = new TreeMap<>();
         for (RegisteredTarget target : targets.all()) {
             if (!target.config().leaving()) {
@@ -195,12 +241,8 @@
             ImmutableList<RegisteredTarget> before = view.targets().get(service);
             lists.put(service, before != null && before.equals(list) ? before : list);
         });
-        FleetView next = new FleetView(
+        return new FleetView(
                 Optional.ofNullable(configuration), lists.buildOrThrow(), ImmutableList.copyOf(members.all()));
-        if (!Objects.equals(next, view)) {
-            view = next;
-            listener.accept(next);
-        }
     }
 
     /** Registrations of one kind, including lapsed ones whose owners may register again. */
@@ -241,11 +283,14 @@
                     .forEach(this::remove);
         }
 
+        private boolean hasLapsed() {
+            return !lapsed.isEmpty();
+        }
+
         /**
-         * Removes lapsed registrations, and returns whether it removed any. In the grace period it keeps those of a group
-         * of which more than half have lapsed.
+         * Removes lapsed registrations. In the grace period it keeps those of a group of which more than half have lapsed.
          */
-        private boolean dropLapsed(boolean inGracePeriod) {
+        private void dropLapsed(boolean inGracePeriod) {
             List<String> dropped = new ArrayList<>();
             lapsed.forEach((id, registration) -> {
                 if (!inGracePeriod || !hasMostlyLapsed(groupOf.apply(registration))) {
@@ -257,7 +302,6 @@
                 lapsed.remove(id);
                 LOG.infof("event=%s_gone id=%s", kind, id);
             }
-            return !dropped.isEmpty();
         }
 
         private boolean hasMostlyLapsed(String group) {
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
@@ -1,16 +1,22 @@
 package io.anvilpick.fleet;
 
+import static com.google.common.base.Preconditions.checkState;
 import static io.anvilpick.fleet.FleetSamples.configuration;
 import static io.anvilpick.fleet.FleetSamples.member;
 import static io.anvilpick.fleet.FleetSamples.target;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
 import io.anvilpick.time.ManualTimeSource;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 class FleetStateTest {
@@ -119,10 +125,45 @@
         registerTargets("a");
         state.apply(List.of(new FleetChange.ConfigurationWritten(configuration(7))));
         FleetView before = state.view();
-        state.apply(List.of(new FleetChange.Unreadable("op/config", "no JSON")));
+        state.apply(List.of(unreadableConfiguration(OptionalLong.empty())));
         assertSame(before, state.view());
     }
 
+    private static FleetChange unreadableConfiguration(OptionalLong version) {
+        return new FleetChange.Unreadable("op/config", new FleetChange.Subject.Configuration(version), "no JSON");
+    }
+
+    /** Guards against an old configuration in force that nothing shows but one line of log. */
+    @Test
+    void newerConfigurationThatIsUnreadableIsShownUntilAnotherTakesEffect() {
+        state.apply(List.of(new FleetChange.ConfigurationWritten(configuration(7))));
+        state.apply(List.of(unreadableConfiguration(OptionalLong.of(6))));
+        assertEquals(Optional.empty(), state.unreadableConfiguration());
+        state.apply(List.of(unreadableConfiguration(OptionalLong.of(9))));
+        assertEquals(
+                Optional.of(new FleetChange.Subject.Configuration(OptionalLong.of(9))),
+                state.unreadableConfiguration());
+        state.apply(List.of(new FleetChange.ConfigurationWritten(configuration(8))));
+        assertTrue(state.unreadableConfiguration().isPresent());
+        state.apply(List.of(new FleetChange.ConfigurationWritten(configuration(10))));
+        assertEquals(Optional.empty(), state.unreadableConfiguration());
+        state.apply(List.of(unreadableConfiguration(OptionalLong.empty())));
+        assertTrue(state.unreadableConfiguration().isPresent());
+        state.replaceAll(List.of(new FleetChange.ConfigurationWritten(configuration(10))));
+        assertEquals(Optional.empty(), state.unreadableConfiguration());
+        assertEquals(new UnreadableCounts(3, 0, 0, 0), state.unreadableCounts());
+    }
+
+    @Test
+    void countsUnreadableItemsByWhatTheyDescribe() {
+        state.apply(List.of(
+                new FleetChange.Unreadable("t/a", new FleetChange.Subject.Target("a"), "no JSON"),
+                new FleetChange.Unreadable("m/a", new FleetChange.Subject.Member("a"), "no JSON"),
+                new FleetChange.Unreadable("m/b", new FleetChange.Subject.Member("b"), "no JSON"),
+                new FleetChange.Unreadable("x", new FleetChange.Subject.Other("x"), "no base64")));
+        assertEquals(new UnreadableCounts(0, 1, 2, 1), state.unreadableCounts());
+    }
+
     @Test
     void unchangedListOfTargetsStaysTheSameObject() {
         registerTargets("a");
@@ -130,4 +171,71 @@
         state.apply(List.of(new FleetChange.TargetRegistered(target("x", "other", false))));
         assertSame(before, state.view().targets().get("s"));
     }
+
+    /** Guards against dispatchers that keep an old view for good after one failed update. */
+    @Test
+    void viewThatTheListenerFailedToTakeIsDeliveredByTheNextReadThoughNothingChanged() {
+        FailingOnceListener listener = new FailingOnceListener();
+        FleetState failing = new FleetState(time, listener::accept);
+        List<FleetChange> changes = List.of(new FleetChange.ConfigurationWritten(configuration(7)));
+        assertThrows(StackOverflowError.class, () -> failing.apply(changes));
+        failing.replaceAll(changes);
+        assertEquals(List.of(failing.view()), listener.delivered);
+        failing.replaceAll(changes);
+        assertEquals(List.of(failing.view()), listener.delivered);
+    }
+
+    /** Guards against dispatchers that keep an old view until the next change after one failed update. */
+    @Test
+    void viewThatTheListenerFailedToTakeIsDeliveredByTheNextCheckForLapsedRegistrations() {
+        FailingOnceListener listener = new FailingOnceListener();
+        FleetState failing = new FleetState(time, listener::accept);
+        List<FleetChange> changes = List.of(new FleetChange.TargetRegistered(target("a", "s", false)));
+        assertThrows(StackOverflowError.class, () -> failing.apply(changes));
+        failing.expire();
+        assertEquals(List.of(failing.view()), listener.delivered);
+        failing.expire();
+        assertEquals(List.of(failing.view()), listener.delivered);
+    }
+
+    /** Guards against dispatchers that keep a part of a failed view because the content went back to that before it. */
+    @Test
+    void viewAfterAFailedOneIsDeliveredThoughItEqualsTheOneBefore() {
+        FailingOnceListener listener = new FailingOnceListener();
+        listener.failed = true;
+        FleetState failing = new FleetState(time, listener::accept);
+        failing.apply(List.of(new FleetChange.TargetRegistered(target("a", "s", false))));
+        listener.failed = false;
+        List<FleetChange> leaving = List.of(new FleetChange.TargetRegistered(target("a", "s", true)));
+        assertThrows(StackOverflowError.class, () -> failing.apply(leaving));
+        failing.apply(List.of(new FleetChange.TargetRegistered(target("a", "s", false))));
+        assertEquals(2, listener.delivered.size());
+        assertSame(failing.view(), listener.delivered.getLast());
+    }
+
+    /** Guards against a change that was applied in part and reaches nobody until the next one. */
+    @Test
+    void changesBeforeAFailureAreInTheViewAfterTheNextCheckForLapsedRegistrations() {
+        Iterable<FleetChange> changes = () -> Stream.<FleetChange>of(
+                        new FleetChange.TargetRegistered(target("a", "s", false)),
+                        new FleetChange.TargetRegistered(target("b", "s", false)))
+                .peek(change -> checkState(!change.equals(new FleetChange.TargetRegistered(target("b", "s", false)))))
+                .iterator();
+        assertThrows(IllegalStateException.class, () -> state.apply(changes));
+        state.expire();
+        assertEquals(List.of("a"), ids());
+    }
+
+    private static final class FailingOnceListener {
+        private final List<FleetView> delivered = new ArrayList<>();
+        private boolean failed;
+
+        private void accept(FleetView view) {
+            if (!failed) {
+                failed = true;
+                throw new StackOverflowError();
+            }
+            delivered.add(view);
+        }
+    }
 }
