--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/WatchTimes.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/WatchTimes.java
@@ -22,6 +22,9 @@
     /** The minimum bound. A shorter one would cost many calls to the store. */
     public static final Duration MIN_BOUND = Duration.ofMillis(200);
 
+    /** The bound of a deployment that states none. */
+    public static final Duration DEFAULT_BOUND = Duration.ofSeconds(2);
+
     /** Times are derived from this bound if the actual one is longer. */
     private static final Duration MAX_BOUND = Duration.ofSeconds(16);
 
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
@@ -31,8 +31,6 @@
         Duration grace,
         Duration addressesGoodFor,
         WatchTimes watchTimes) {
-    private static final Duration DEFAULT_CHANGE_BOUND = Duration.ofSeconds(2);
-
     public EntrySettings {
         checkArgument(grace.isPositive(), "grace must be positive: %s", grace);
         checkArgument(addressesGoodFor.isPositive(), "addressesGoodFor must be positive: %s", addressesGoodFor);
@@ -78,7 +76,7 @@
         private @Nullable SharedBudget extraCalls;
         private @Nullable Duration grace;
         private @Nullable Duration addressesGoodFor;
-        private WatchTimes watchTimes = new WatchTimes(DEFAULT_CHANGE_BOUND);
+        private WatchTimes watchTimes = new WatchTimes(WatchTimes.DEFAULT_BOUND);
 
         private Builder(EntryMember self) {
             this.self = self;
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
@@ -39,7 +39,7 @@
     private static final int PEER_PORT = 20_003;
 
     /** Distance to the ports of a second daemon. The first one's peer port stays open after its shutdown. */
-    private static final int SECOND_DAEMON = 10;
+    private static final int SECOND_DAEMON = 20;
 
     private final CountDownLatch hasConfiguration = new CountDownLatch(1);
     private final FixedStore store = new FixedStore(ITEM, hasConfiguration);
