An answer without end no longer takes more of the heap than is counted

What callers saw: a target that sends a body without end used up the heap of a daemon below the bound for bodies. The answer failed with OutOfMemoryError (502), other requests waited for collections, and large sound answers failed as well. An error while a complete answer was built left its caller without any answer.

Cause: the body grew in an array that doubles, which holds up to three times its bytes while it is copied, while HeldBytes counts the bytes. The exchange was removed from its connection before its answer was built, so an error in between had no exchange to end.

Evidence, tests on the code before: anErrorWhileAnAnswerIsCompletedCutsIt gets no outcome in 5 s.

--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/AnswerBuilder.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/AnswerBuilder.java
@@ -11,9 +11,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.Locale;
 import java.util.Map;
 
@@ -35,7 +32,7 @@
 
     private final HttpResponse response;
     private final TargetHeaders names;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final AnswerBody body = new AnswerBody();
 
     AnswerBuilder(HttpResponse response, TargetHeaders names) {
         this.response = response;
@@ -47,11 +44,7 @@
     }
 
     void append(ByteBuf content) {
-        try {
-            content.readBytes(body, content.readableBytes());
-        } catch (IOException e) {
-            throw new UncheckedIOException("cannot append to the answer body in memory", e);
-        }
+        body.append(content);
     }
 
     /** Returns whether the answer may belong to the request with that id. A rejection may omit the id. */
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/TargetConnection.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/TargetConnection.java
@@ -261,8 +261,8 @@
         if (completed == null || ended == null) {
             return;
         }
-        boolean complete = clearExchange();
         TargetReply reply = completed.build(time);
+        boolean complete = clearExchange();
         if (complete && reusable && reply instanceof TargetReply.Answered answered && recordAnswered(ended, answered)) {
             idleSinceNanos = time.nanos();
             idleDeadline = Deadline.after(time, idleTimeout.minus(IDLE_MARGIN));
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/target/connections/NettyTargetClientTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/target/connections/NettyTargetClientTest.java
@@ -26,6 +26,8 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -151,6 +153,21 @@
         assertEquals(2, target.connections.size());
     }
 
+    /** Guards against an exchange without outcome after an error while its answer is completed, as when memory runs out. */
+    @Test
+    void anErrorWhileAnAnswerIsCompletedCutsIt() throws Exception {
+        AtomicBoolean broken = new AtomicBoolean();
+        TimeSource clock = new BreakableTimeSource(broken);
+        Exchange exchange = start(clientOn(clock), clock, "1");
+        target.firstRequest.await();
+        broken.set(true);
+        target.enqueue(
+                "HTTP/1.1 503 No\r\nx-id: 1\r\nretry-after: 1\r\ncontent-length: 4\r\n\r\nbody",
+                ScriptedServer.Ending.KEEP);
+        assertInstanceOf(TargetReply.Cut.class, exchange.reply().get(5, TimeUnit.SECONDS));
+        assertEquals(0, heldBodies.held());
+    }
+
     @Test
     void aProbeAnswerWithoutEndIsNoAnswer() throws Exception {
         target.enqueueWithoutEnd("HTTP/1.1 200 OK\r\nx-load: 2,0,4,100\r\n\r\n", "x".repeat(1_000));
@@ -393,4 +410,20 @@
                                 0));
         assertInstanceOf(TargetReply.TimedOut.class, exchange.reply().join());
     }
+
+    /** A time source that throws while {@code broken} is set. */
+    private record BreakableTimeSource(AtomicBoolean broken) implements TimeSource {
+        @Override
+        public long nanos() {
+            if (broken.get()) {
+                throw new IllegalStateException("broken clock");
+            }
+            return TIME.nanos();
+        }
+
+        @Override
+        public long epochMillis() {
+            return TIME.epochMillis();
+        }
+    }
 }
