Answers without end leave room for the bodies of other requests

What callers saw: one answer could use up the bound on bodies that all requests of a daemon share. Until it failed, requests with a body were refused (503) and sound answers cut (502); an answer that stalled just below the bound kept it so until its deadline.

Cause: the bound was one count, without a bound for one exchange.

Why it works: an exchange may hold as much as it leaves free, so that the first takes half of the bound, the next a quarter, and small bodies fit beside five. An answer beside other bodies is cut at half of what they leave: that is less than before.

--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -64,10 +64,10 @@
     private static final int MAX_HEADER_BYTES = 64 * 1024;
 
     /**
-     * The maximum heap divided by this is the limit on the bytes of bodies held at a time. A request body counts with its
-     * declared length from the start; other bodies count as their bytes arrive.
+     * The share of the maximum heap that is the limit on the bytes of bodies held at a time. A request body counts with its
+     * declared length from the start; other bodies count as their bytes arrive. An answer alone may hold a quarter of the heap.
      */
-    private static final int BODY_LIMIT_HEAP_DIVISOR = 4;
+    private static final double BODY_LIMIT_HEAP_SHARE = 8.0 / 31;
 
     private final ActiveSettings settings;
     private final TimeSource time = TimeSource.system();
@@ -105,7 +105,7 @@
                 store, checkNotNull(builder.decoder, "decoder"), state, relayLog, relays, time));
         this.registrar = new MemberRegistrar(store, state, relayLog, relays, initial.self());
         this.addressSelector = new EntryAddressSelector(state::view, initial.self());
-        HeldBytes heldBodies = HeldBytes.atMost(Runtime.getRuntime().maxMemory() / BODY_LIMIT_HEAP_DIVISOR);
+        HeldBytes heldBodies = HeldBytes.atMost((long) (Runtime.getRuntime().maxMemory() * BODY_LIMIT_HEAP_SHARE));
         this.runner = newRunner(headers, crashes, heldBodies);
         this.server = newServer(builder, headers, heldBodies);
         registerGauges();
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/TargetConnection.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/TargetConnection.java
@@ -225,8 +225,9 @@
             skippedBytes += length;
             return skippedBytes <= MAX_SKIPPED_BYTES && skippedAnswers <= MAX_SKIPPED_ANSWERS;
         }
+        int requestSize = exchange == null ? 0 : exchange.request().body().length;
         boolean probeTooLarge = exchange != null && exchange.isProbe() && answer.size() > MAX_PROBE_ANSWER_BYTES;
-        if (probeTooLarge || !heldBodies.tryHold(length)) {
+        if (probeTooLarge || !heldBodies.tryHoldAnswer(answer.size() + requestSize, length)) {
             return false;
         }
         answer.append(content);
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/target/connections/NettyTargetClientTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/target/connections/NettyTargetClientTest.java
@@ -168,6 +168,27 @@
         assertEquals(0, heldBodies.held());
     }
 
+    /** Guards against an answer without end that stalls while it leaves no room for the answers of others. */
+    @Test
+    void anAnswerBesideOthersIsCutWhenItHoldsMoreThanItLeavesFree() {
+        heldBodies.hold(MAX_HELD_BYTES / 4);
+        target.enqueue(
+                "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\n" + "x".repeat((int) MAX_HELD_BYTES / 2),
+                ScriptedServer.Ending.KEEP);
+        assertInstanceOf(TargetReply.Cut.class, send("1"));
+        String body = "b".repeat((int) MAX_HELD_BYTES / 3);
+        target.enqueue(answer("2", body), ScriptedServer.Ending.KEEP);
+        assertEquals(body, bodyOf(send("2")));
+    }
+
+    @Test
+    void aLargeAnswerArrivesWholeIfNoOtherExchangeHoldsABody() {
+        heldBodies.hold("body".length());
+        String body = "b".repeat((int) MAX_HELD_BYTES * 31 / 32 - "body".length());
+        target.enqueue(answer("1", body), ScriptedServer.Ending.KEEP);
+        assertEquals(body, bodyOf(send("1")));
+    }
+
     @Test
     void aProbeAnswerWithoutEndIsNoAnswer() throws Exception {
         target.enqueueWithoutEnd("HTTP/1.1 200 OK\r\nx-load: 2,0,4,100\r\n\r\n", "x".repeat(1_000));
