--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/http/HttpServerClientTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/http/HttpServerClientTest.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(60)
 class HttpServerClientTest {
@@ -138,6 +139,12 @@
         "'HTTP/1.1 200 OK\r\n', 'x-a: b\r\n', Lost",
         "'HTTP/1.1 200 OK\r\nx-a: ', 'bbbbbbbb', Lost",
         "'', 'HTTP/1.1 100 Continue\r\n\r\n', Lost",
+        "'', 'HTTP/1.1 103 Early\r\nx-a: bbbbbbbbbbbbbbbbbbbbbbbbbbbb\r\n\r\n', Lost",
+        "'HTTP/1.1 103 Early\r\n', 'x-a: b\r\n', Lost",
+        "'HTTP/1.1 200 ', 'aaaaaaaa', Lost",
+        "'HTTP/1.1 200 OK\r\ncontent-length: 4611686018427387904\r\n\r\n', 'body', TooLarge",
+        "'HTTP/1.1 200 OK\r\ncontent-length: 9223372036854775808\r\n\r\n', 'body', Lost",
+        "'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n80000000\r\n', 'body', Lost",
         "'HTTP/1.1 200 OK\r\n\r\n', 'to the end', TooLarge",
         "'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n', '4\r\nbody\r\n', TooLarge",
         "'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4', ';extension', Lost",
@@ -151,6 +158,16 @@
         assertTrue(written < MAX_CHUNKED_BODY_BYTES + MAX_SOCKET_BYTES, () -> written + " bytes written");
     }
 
+    /** What follows a response belongs to no call. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nx-a: b\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nbody", "aaaaaaaa"})
+    void bytesWithoutEndBehindAResponseCloseItsConnection(String rest) throws Exception {
+        server.enqueueWithoutEnd(EMPTY_ANSWER, rest);
+        assertEquals(204, answered(get()).status());
+        long written = server.awaitEndlessAnswerClosed();
+        assertTrue(written < MAX_SOCKET_BYTES, () -> written + " bytes written");
+    }
+
     private static String unescaped(String text) {
         return text.replace("\\r\\n", "\r\n");
     }
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/target/connections/NettyTargetClientTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/target/connections/NettyTargetClientTest.java
@@ -24,6 +24,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +42,8 @@
     /** Bytes that sockets may hold beyond what the client has read. */
     private static final long MAX_SOCKET_BYTES = 16L * 1024 * 1024;
 
+    private static final int REPEATS = 60;
+
     private Exchange start(String id) {
         return start(client, TIME, id);
     }
@@ -137,13 +141,23 @@
         "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@@', 'to the end'",
         "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@transfer-encoding: chunked@@', '4@body@'",
         "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@transfer-encoding: chunked@@4', ';extension'",
+        "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@transfer-encoding: chunked@@7fffffff@', 'body'",
+        "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@transfer-encoding: chunked@@80000000@', 'body'",
+        "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@transfer-encoding: chunked@@7fffffffffffffff@', 'body'",
+        "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@transfer-encoding: chunked@@', '1@b@'",
+        "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@content-length: 4611686018427387904@@', 'body'",
+        "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@content-length: 9223372036854775808@@', 'body'",
+        "'HTTP/1.1 200 ', 'aaaaaaaa'",
+        "'HTTP/1.1 103 Early@', 'x-a: b@'",
+        "'', 'HTTP/1.1 103 Early@x-a: bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb@x-b: bbbbbbbbbbbbbbbb@@'",
+        "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@content-length: 1@@1', 'HTTP/1.1 200 OK@x-id: 1@content-length: 4@@body'",
         "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@transfer-encoding: chunked@@0@', 'x-a: b@'",
         "'HTTP/1.1 200 OK@x-id: 1@x-seal: s@content-length: 1@@1', 'more'",
     })
     void anAnswerWithoutEndEndsItsExchangeAndItsConnection(String beginning, String rest) throws Exception {
         target.enqueueWithoutEnd(
                 beginning.replace("@", "\r\n"), rest.replace("@", "\r\n").repeat(1_000));
-        boolean complete = beginning.contains("content-length: 1@@1");
+        boolean complete = beginning.endsWith("content-length: 1@@1");
         assertEquals(complete, send("1") instanceof TargetReply.Answered);
         long written = target.awaitEndlessAnswerClosed();
         assertTrue(written < 3 * MAX_HELD_BYTES + MAX_SOCKET_BYTES, () -> written + " bytes written");
@@ -153,6 +167,27 @@
         assertEquals(2, target.connections.size());
     }
 
+    /** Guards against an answer without end that stalls while it leaves no room for the answers of others. */
+    @Test
+    void anAnswerBesideOthersIsCutWhenItHoldsMoreThanItLeavesFree() {
+        heldBodies.hold(MAX_HELD_BYTES / 4);
+        target.enqueue(
+                "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\n" + "x".repeat((int) MAX_HELD_BYTES / 2),
+                ScriptedServer.Ending.KEEP);
+        assertInstanceOf(TargetReply.Cut.class, send("1"));
+        String body = "b".repeat((int) MAX_HELD_BYTES / 3);
+        target.enqueue(answer("2", body), ScriptedServer.Ending.KEEP);
+        assertEquals(body, bodyOf(send("2")));
+    }
+
+    @Test
+    void aLargeAnswerArrivesWholeIfNoOtherExchangeHoldsABody() {
+        heldBodies.hold("body".length());
+        String body = "b".repeat((int) MAX_HELD_BYTES * 31 / 32 - "body".length());
+        target.enqueue(answer("1", body), ScriptedServer.Ending.KEEP);
+        assertEquals(body, bodyOf(send("1")));
+    }
+
     /** Guards against an exchange without outcome after an error while its answer is completed, as when memory runs out. */
     @Test
     void anErrorWhileAnAnswerIsCompletedCutsIt() throws Exception {
@@ -168,25 +203,88 @@
         assertEquals(0, heldBodies.held());
     }
 
-    /** Guards against an answer without end that stalls while it leaves no room for the answers of others. */
-    @Test
-    void anAnswerBesideOthersIsCutWhenItHoldsMoreThanItLeavesFree() {
-        heldBodies.hold(MAX_HELD_BYTES / 4);
+    /** Guards against sound answers that are cut because answers without end hold all bytes that the daemon may hold. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 5})
+    void soundAnswersArriveWholeBesideAnswersWithoutEnd(int faulty) throws Exception {
+        List<ScriptedServer> servers = new ArrayList<>();
+        try {
+            for (int i = 0; i < faulty; i++) {
+                ScriptedServer server = new ScriptedServer();
+                servers.add(server);
+                for (int j = 0; j < REPEATS; j++) {
+                    server.enqueueWithoutEnd("HTTP/1.1 200 OK\r\nx-id: e\r\nx-seal: s\r\n\r\n", "x".repeat(10_000));
+                }
+                repeat(server, REPEATS);
+            }
+            String body = "b".repeat(4_000);
+            for (int i = 0; i < REPEATS; i++) {
+                target.enqueue(answer("sound-" + i, body), ScriptedServer.Ending.KEEP);
+                assertEquals(body, bodyOf(send("sound-" + i)));
+            }
+        } finally {
+            servers.forEach(ScriptedServer::close);
+        }
+    }
+
+    /** Sends requests to {@code server}, one after the other. */
+    private void repeat(ScriptedServer server, int times) {
+        if (times > 0) {
+            TargetConfig config = new TargetConfig("i-2", "127.0.0.1", server.port(), "z", false);
+            start(client, TIME, config, "e").reply().thenRun(() -> repeat(server, times - 1));
+        }
+    }
+
+    /** Guards against an exchange without outcome after an answer that cannot be built. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x-load: 3,1,8,0", "x-load: 2147483648,0,0,0", "x-load: -1,-1,-1,-1", "retry-after: NaN"})
+    void anAnswerWithOddHeadersEndsItsExchange(String header) {
         target.enqueue(
-                "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\n" + "x".repeat((int) MAX_HELD_BYTES / 2),
+                "HTTP/1.1 503 No\r\nx-id: 1\r\n" + header + "\r\ncontent-length: 0\r\n\r\n",
                 ScriptedServer.Ending.KEEP);
-        assertInstanceOf(TargetReply.Cut.class, send("1"));
-        String body = "b".repeat((int) MAX_HELD_BYTES / 3);
-        target.enqueue(answer("2", body), ScriptedServer.Ending.KEEP);
-        assertEquals(body, bodyOf(send("2")));
+        assertInstanceOf(TargetReply.Answered.class, send("1"));
     }
 
     @Test
-    void aLargeAnswerArrivesWholeIfNoOtherExchangeHoldsABody() {
-        heldBodies.hold("body".length());
-        String body = "b".repeat((int) MAX_HELD_BYTES * 31 / 32 - "body".length());
-        target.enqueue(answer("1", body), ScriptedServer.Ending.KEEP);
-        assertEquals(body, bodyOf(send("1")));
+    void anAnswerThatStallsIsReleasedAtItsDeadlineAndItsConnectionClosed() {
+        target.enqueue("HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\npart", ScriptedServer.Ending.KEEP);
+        CallRequest request = new CallRequest(
+                "s",
+                "",
+                "GET",
+                "/a",
+                ImmutableList.of(new Header("x-id", "1")),
+                new byte[0],
+                Optional.empty(),
+                Deadline.after(TIME, Duration.ofMillis(100)),
+                0);
+        assertInstanceOf(
+                TargetReply.TimedOut.class,
+                client.send(config(), request).reply().join());
+        target.enqueue(answer("2", "next"), ScriptedServer.Ending.KEEP);
+        assertEquals("next", bodyOf(send("2")));
+        assertEquals(0, heldBodies.held());
+        assertEquals(2, target.connections.size());
+    }
+
+    @Test
+    void aProbeAnswerThatStallsIsNoAnswerAndItsConnectionClosed() {
+        target.enqueue("HTTP/1.1 200 OK\r\nx-load: 2,0,4,100\r\n\r\npart", ScriptedServer.Ending.KEEP);
+        assertEquals(
+                new ProbeReply.NoAnswer(), client.probe(config(), "/healthz").join());
+        target.enqueue(answer("2", "next"), ScriptedServer.Ending.KEEP);
+        assertEquals("next", bodyOf(send("2")));
+        assertEquals(0, heldBodies.held());
+        assertEquals(2, target.connections.size());
+    }
+
+    @Test
+    void bytesWithoutEndOnAnIdleConnectionCloseIt() throws Exception {
+        target.enqueueWithoutEnd(answer("1", "a"), "HTTP/1.1 200 OK\r\nx-a: b\r\n\r\n");
+        assertEquals("a", bodyOf(send("1")));
+        long written = target.awaitEndlessAnswerClosed();
+        assertTrue(written < MAX_SOCKET_BYTES, () -> written + " bytes written");
+        assertEquals(0, heldBodies.held());
     }
 
     @Test
