A stop ends the time for new requests by its clock, also for bodies that end late

A request whose head came in time and whose body ended later was passed on at any time.

Cause: EntryDaemon.shutDown refused requests once its thread had slept 2.7 s, which began after the order had reached all dispatchers and ended when the thread was scheduled again. A request counted as accepted from its head.

Change: Shutdown holds the deadline until which requests are accepted. Each request is held against it when its head arrives, and again when its body is whole and its thread runs. The refusal is a 503 with Connection: close: the request has not run.

Evidence: ShutdownTest#noRequestIsAcceptedAfterTheTimeForItHoweverLateTheStopGoesOn (manual clock) and EntryServiceTest#aBodyThatEndsAfterTheTimeForNewRequestsIsRefused fail on the code before. The tests of ShutdownTest are unchanged but for the arguments of the constructor and of leave.

--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -71,7 +71,7 @@
 
     private final ActiveSettings settings;
     private final TimeSource time = TimeSource.system();
-    private final Shutdown shutdown = new Shutdown();
+    private final Shutdown shutdown = new Shutdown(time);
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final EntryMetrics metrics = new EntryMetrics();
     private final EntryDispatchers dispatchers;
@@ -212,11 +212,12 @@
     public void shutDown() throws InterruptedException {
         long startNanos = time.nanos();
         LOG.infof("event=leaving in_flight=%d", shutdown.inFlight());
-        shutdown.leave();
-        Thread.ofVirtual().name("leave").start(registrar::leave);
         ShutdownSchedule schedule = ShutdownSchedule.within(settings.current().grace());
+        Deadline acceptBy = new Deadline(startNanos + schedule.acceptFor().toNanos());
+        shutdown.leave(acceptBy);
+        Thread.ofVirtual().name("leave").start(registrar::leave);
         runner.stopBy(new Deadline(startNanos + schedule.answerBy().toNanos()));
-        Thread.sleep(schedule.acceptFor());
+        Thread.sleep(acceptBy.remaining(time));
         shutdown.refuseRequests();
         Duration elapsed = Duration.ofNanos(time.nanos() - startNanos);
         boolean idle = shutdown.awaitIdle(schedule.exitBy().minus(elapsed));
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryService.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryService.java
@@ -82,7 +82,7 @@
     public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
         long arrivedNanos = time.nanos();
         if (!shutdown.tryBeginRequest()) {
-            return EntryErrorAnswers.of(ErrorKind.SHUTTING_DOWN, "this daemon is shutting down", true);
+            return shuttingDown();
         }
         context.log().whenComplete().thenRun(shutdown::endRequest);
         RequestBodyBytes bytes = new RequestBodyBytes(heldBodies);
@@ -105,6 +105,10 @@
         return HttpResponse.of(response);
     }
 
+    private static HttpResponse shuttingDown() {
+        return EntryErrorAnswers.of(ErrorKind.SHUTTING_DOWN, "this daemon is shutting down", true);
+    }
+
     /**
      * Returns the rejection of a request whose body has not been read to its end.
      *
@@ -148,6 +152,9 @@
 
     private HttpResponse runRequest(
             ServiceRequestContext context, RequestHeaders headers, byte[] body, long arrivedNanos) {
+        if (!shutdown.mayStart()) {
+            return shuttingDown();
+        }
         try {
             CallAnswer answer = runner.run(requestOf(context, headers, body, arrivedNanos));
             holdUntilSent(context, answer);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/Shutdown.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/Shutdown.java
@@ -1,8 +1,11 @@
 package io.anvilpick.daemon.entry;
 
+import io.anvilpick.time.Deadline;
+import io.anvilpick.time.TimeSource;
 import java.time.Duration;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The state of a graceful shutdown. A leaving daemon first redirects callers to other daemons but still serves them. It then
@@ -11,15 +14,22 @@
 final class Shutdown {
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition allEnded = lock.newCondition();
+    private final TimeSource time;
     private boolean refusing;
     private int inFlight;
-    private volatile boolean leaving;
+
+    /** The time until which new requests are accepted; null before the shutdown. */
+    private volatile @Nullable Deadline acceptBy;
+
+    Shutdown(TimeSource time) {
+        this.time = time;
+    }
 
     /** Counts a new request as in flight. Returns false, without counting it, if it must be refused. */
     boolean tryBeginRequest() {
         lock.lock();
         try {
-            if (refusing) {
+            if (refusing || !mayStart()) {
                 return false;
             }
             inFlight++;
@@ -44,12 +54,18 @@
 
     /** Returns whether shutdown has begun. */
     boolean isLeaving() {
-        return leaving;
+        return acceptBy != null;
+    }
+
+    /** Starts the shutdown. New requests are accepted until {@code acceptUntil}, whenever the stop goes on. */
+    void leave(Deadline acceptUntil) {
+        acceptBy = acceptUntil;
     }
 
-    /** Starts the shutdown. New requests are still accepted. */
-    void leave() {
-        leaving = true;
+    /** Returns whether a request may still start: one that was accepted but read or scheduled too late may not. */
+    boolean mayStart() {
+        Deadline end = acceptBy;
+        return end == null || !end.hasPassed(time);
     }
 
     /** Makes {@link #tryBeginRequest} refuse all new requests. */
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryServiceTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryServiceTest.java
@@ -17,6 +17,7 @@
 import io.anvilpick.entry.SharedBudget;
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.limits.HeldBytes;
+import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -30,6 +31,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -40,7 +42,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Checks that the bodies of callers are bounded in memory, whatever length they declare. */
+/** Checks that the bodies of callers are bounded in memory, and that a stop refuses those that end too late. */
 @Timeout(60)
 class EntryServiceTest {
     private static final TargetHeaders NAMES =
@@ -56,18 +58,21 @@
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final HeldBytes heldBodies = HeldBytes.atMost(MAX_HELD_BYTES);
+    private final Shutdown shutdown = new Shutdown(time);
+    private final CountDownLatch begun = new CountDownLatch(1);
     private final CountDownLatch logged = new CountDownLatch(1);
     private Server server;
 
     @BeforeEach
     void start() {
-        EntryService service = new EntryService(newRunner(), NAMES, executor, time, new Shutdown(), heldBodies);
+        EntryService service = new EntryService(newRunner(), NAMES, executor, time, shutdown, heldBodies);
         server = Server.builder()
                 .port(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), SessionProtocol.HTTP)
                 .gracefulShutdownTimeoutMillis(0, 0)
                 .maxRequestLength(0)
                 .serviceUnder("/", (context, request) -> {
                     var response = service.serve(context, request);
+                    begun.countDown();
                     context.log().whenComplete().thenRun(logged::countDown);
                     return response;
                 })
@@ -147,4 +152,20 @@
             assertEquals(0, heldBodies.held());
         }
     }
+
+    /** Guards against a planned stop that passes on a request whose body ends after the time for new requests. */
+    @Test
+    void aBodyThatEndsAfterTheTimeForNewRequestsIsRefused() throws Exception {
+        try (Socket socket = connect("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nx")) {
+            begun.await();
+            shutdown.leave(Deadline.after(time, Duration.ZERO));
+            socket.getOutputStream().write('y');
+            BufferedReader answer =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            List<String> lines = answer.lines().toList();
+            assertEquals("HTTP/1.1 503 Service Unavailable", lines.getFirst());
+            assertTrue(lines.contains("connection: close"), lines.toString());
+            assertTrue(lines.getLast().startsWith("shutting_down"), lines.toString());
+        }
+    }
 }
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/ShutdownTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/ShutdownTest.java
@@ -4,17 +4,22 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.anvilpick.time.Deadline;
+import io.anvilpick.time.ManualTimeSource;
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 @Timeout(60)
 class ShutdownTest {
-    private final Shutdown shutdown = new Shutdown();
+    private static final Duration ACCEPT_TIME = Duration.ofSeconds(1);
+
+    private final ManualTimeSource time = ManualTimeSource.startingAt(0);
+    private final Shutdown shutdown = new Shutdown(time);
 
     @Test
     void aLeavingDaemonStillAcceptsRequests() {
-        shutdown.leave();
+        shutdown.leave(Deadline.after(time, ACCEPT_TIME));
         assertTrue(shutdown.isLeaving());
         assertTrue(shutdown.tryBeginRequest());
     }
@@ -30,6 +35,19 @@
         assertTrue(shutdown.awaitIdle(Duration.ofMinutes(1)));
     }
 
+    /** Guards against a thread that wakes late and lets the daemon take requests that it has no time for. */
+    @Test
+    void noRequestIsAcceptedAfterTheTimeForItHoweverLateTheStopGoesOn() {
+        shutdown.leave(Deadline.after(time, ACCEPT_TIME));
+        time.advance(ACCEPT_TIME.minusMillis(1));
+        assertTrue(shutdown.tryBeginRequest());
+        assertTrue(shutdown.mayStart());
+        time.advance(Duration.ofMillis(1));
+        assertFalse(shutdown.tryBeginRequest());
+        assertFalse(shutdown.mayStart());
+        assertEquals(1, shutdown.inFlight());
+    }
+
     @Test
     void anIdleDaemonDoesNotWait() throws Exception {
         assertTrue(shutdown.awaitIdle(Duration.ZERO));
