Tests: an answer that arrives during a stop is delivered whole; a charge is at its target before the stop

Changed: requestThatWaitsForASlotIsRefusedBeforeTheDaemonCloses expects one request cut at its silent target and two refused. The test now waits until a charge has reached the target; what it demands is unchanged.

--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/StopUnderLoadTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/StopUnderLoadTest.java
@@ -28,6 +28,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -37,27 +38,37 @@
 class StopUnderLoadTest {
     private static final TargetHeaders NAMES =
             new TargetHeaders("x-id", "x-left", "x-seal", "x-target", "x-load", "x-not-run", "x-leaving");
+    private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int CUT = 0;
+    private static final int LARGE_BODY_BYTES = 2_000_000;
     private static final int CALL_PORT = 20_011;
     private static final int METRICS_PORT = 20_012;
-    private static final int PEER_PORT = 20_013;
 
+    /** One port for each test, because a daemon listens for its peers until its process ends. */
+    private static final AtomicInteger NEXT_PEER_PORT = new AtomicInteger(20_013);
+
+    private final int peerPort = NEXT_PEER_PORT.getAndIncrement();
     private final String address = Loopback.exclusiveAddress();
     private final FixedStore store = new FixedStore(new StoredItem("c", 1, Optional.of("configuration")));
     private final ScriptedServer silentTarget;
-    private final EntryDaemon daemon;
 
     StopUnderLoadTest() throws Exception {
         silentTarget = new ScriptedServer();
-        daemon = EntryDaemon.builder()
-                .settings(settings())
+    }
+
+    private EntryDaemon startDaemon(Duration grace) throws InterruptedException {
+        EntryDaemon daemon = EntryDaemon.builder()
+                .settings(settings(grace))
                 .store(store)
                 .decoder(item -> ImmutableList.of(
                         new FleetChange.ConfigurationWritten(configuration()),
                         new FleetChange.TargetRegistered(targetWithOneSlot(silentTarget.port()))))
                 .headers(NAMES)
                 .build();
+        daemon.start();
+        store.isFollowed.await();
+        return daemon;
     }
 
     @AfterEach
@@ -65,13 +76,13 @@
         silentTarget.close();
     }
 
-    private EntrySettings settings() {
-        EntryMember self = new EntryMember("a", address + ":" + CALL_PORT, address + ":" + PEER_PORT, "r", "z");
+    private EntrySettings settings(Duration grace) {
+        EntryMember self = new EntryMember("a", address + ":" + CALL_PORT, address + ":" + peerPort, "r", "z");
         return EntrySettings.builder(self)
                 .callAddress(new InetSocketAddress(address, CALL_PORT))
                 .metricsAddress(new InetSocketAddress(address, METRICS_PORT))
                 .extraCalls(new SharedBudget(0, 0, Duration.ofSeconds(10)))
-                .grace(Duration.ofSeconds(1))
+                .grace(grace)
                 .addressesGoodFor(Duration.ofSeconds(2))
                 .build();
     }
@@ -119,12 +130,27 @@
         }
     }
 
+    private void awaitChargeAtTheTarget() {
+        WebClient metrics = WebClient.of("http://" + address + ":" + METRICS_PORT);
+        while (silentTarget.requests.stream().noneMatch(request -> request.startsWith("POST"))) {
+            // Each round waits for an answer.
+            metrics.get("/metrics").aggregate().join();
+        }
+    }
+
+    /** Answers charge 1 on each connection, also those of status checks, which may have read their request before it. */
+    private void answerChargeOne() {
+        String answer = "HTTP/1.1 200 OK\r\nx-id: id-1\r\nx-seal: s\r\ncontent-length: " + LARGE_BODY_BYTES + "\r\n\r\n"
+                + "x".repeat(LARGE_BODY_BYTES);
+        silentTarget.requests.forEach(request -> silentTarget.enqueue(answer, ScriptedServer.Ending.CLOSE));
+    }
+
     @Test
     void requestThatWaitsForASlotIsRefusedBeforeTheDaemonCloses() throws Exception {
-        daemon.start();
-        store.isFollowed.await();
+        EntryDaemon daemon = startDaemon(Duration.ofSeconds(1));
         List<CompletableFuture<AggregatedHttpResponse>> charges = List.of(charge(1), charge(2), charge(3));
         awaitRequestsInFlight(charges.size());
+        awaitChargeAtTheTarget();
         daemon.shutDown();
         // The target is still working on one of them when the daemon ends.
         List<Integer> refused = charges.stream()
@@ -135,4 +161,29 @@
                 .toList();
         assertEquals(List.of(CUT, UNAVAILABLE, UNAVAILABLE), refused);
     }
+
+    /** Guards against a stop that ends while the answer to a request in flight is being sent. */
+    @Test
+    void answerThatArrivesDuringTheStopIsDeliveredWhole() throws Exception {
+        EntryDaemon daemon = startDaemon(Duration.ofSeconds(10));
+        CompletableFuture<AggregatedHttpResponse> running = charge(1);
+        awaitChargeAtTheTarget();
+        CompletableFuture<AggregatedHttpResponse> waiting = charge(2);
+        awaitRequestsInFlight(2);
+        CompletableFuture<Void> stop = CompletableFuture.runAsync(() -> shutDown(daemon));
+        assertEquals(UNAVAILABLE, waiting.join().status().code());
+        answerChargeOne();
+        stop.join();
+        AggregatedHttpResponse answer = running.join();
+        assertEquals(OK, answer.status().code());
+        assertEquals(LARGE_BODY_BYTES, answer.content().length());
+    }
+
+    private static void shutDown(EntryDaemon daemon) {
+        try {
+            daemon.shutDown();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException("the stop was interrupted", e);
+        }
+    }
 }
