A loop that fails for 30 s makes the daemon not ready; loops of the own interface survive any error

What operators saw: a daemon whose follower failed at each step stayed ready and served by an old view; a loop of the project's own interface ended in silence at an Error; a loop ended if its error could not be counted or logged.

Now a loop that has had no success for 30 s since its first error counts as stuck (LoopHealth): the readiness page says 503, anvilpick_loops_stuck counts it, loop_stuck and loop_recovered are logged once. The daemon does not end and stays in the directory: an error that follows from the content of the store hits all daemons alike, their restarts would fail at the same content without any configuration, and all requests would be refused instead of those on changed routes. An unavailable store is handled within a step and is no error of the loop.

ControlLoops catches errors of any kind, counts them as anvilpick_loop_faults and goes on, and so does the reporting in both kinds of loops.

BackgroundLoopTest.runsAgainAfterAnErrorThatCannotBeReported before its fix: the error left the loop and ended the forked process of the tests, as it was an OutOfMemoryError then; the test now uses a StackOverflowError, and was not run against the old code in that form. That readiness follows LoopHealth is not tested in a running daemon.

--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/Daemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/Daemon.java
@@ -232,7 +232,8 @@
         return ControlLoops.start(
                 new ControlLoops.Parts(
                         state, gossip, watch, new MemberRegistration(platform, members), mover, claimTable),
-                random);
+                random,
+                metrics::loopFault);
     }
 
     private void addGauges() {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/ControlLoops.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/ControlLoops.java
@@ -1,5 +1,6 @@
 package io.anvilpick.daemon.control;
 
+import com.google.common.collect.ImmutableList;
 import io.anvilpick.claims.ClaimTable;
 import io.anvilpick.claims.replication.GroupMover;
 import io.anvilpick.config.ConfigurationException;
@@ -7,6 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 
@@ -25,13 +27,17 @@
 
     private final List<Thread> threads = new ArrayList<>();
     private final RandomGenerator random;
+    private final Consumer<String> faultListener;
 
     /** One execution of a periodic task. */
     @FunctionalInterface
-    private interface Step {
+    interface Step {
         void run() throws PlatformException, ConfigurationException, InterruptedException;
     }
 
+    /** A periodic task, with the pause after each execution. */
+    record Task(String name, Duration pause, Step step) {}
+
     /** The components that the loops call. */
     public record Parts(
             DaemonState state,
@@ -41,23 +47,40 @@
             GroupMover mover,
             ClaimTable claims) {}
 
-    private ControlLoops(RandomGenerator random) {
+    private ControlLoops(RandomGenerator random, Consumer<String> faultListener) {
         this.random = random;
+        this.faultListener = faultListener;
+    }
+
+    /**
+     * Starts all loops. {@code random} must be thread safe.
+     *
+     * @param faultListener receives the name of a loop after each unchecked exception or error in it; must be thread safe
+     */
+    public static ControlLoops start(Parts parts, RandomGenerator random, Consumer<String> faultListener) {
+        return start(tasks(parts), random, faultListener);
     }
 
-    /** Starts all loops. {@code random} must be thread safe. */
-    public static ControlLoops start(Parts parts, RandomGenerator random) {
-        ControlLoops loops = new ControlLoops(random);
-        loops.add("registration", REGISTER_INTERVAL, parts.registration()::refresh);
-        loops.add("gossip", GOSSIP_INTERVAL, parts.gossip()::round);
-        loops.add("configuration", Duration.ZERO, () -> awaitConfiguration(parts.watch()));
-        loops.add("vms", LIST_VMS_INTERVAL, () -> readVms(parts.watch()));
-        loops.add("daemons", COUNT_DAEMONS_INTERVAL, parts.state()::updateDaemonCount);
-        loops.add("mover", MOVE_INTERVAL, () -> move(parts.mover()));
-        loops.add("forget", REMOVE_EXPIRED_INTERVAL, () -> parts.claims().removeExpired());
+    static ControlLoops start(List<Task> tasks, RandomGenerator random, Consumer<String> faultListener) {
+        ControlLoops loops = new ControlLoops(random, faultListener);
+        tasks.forEach(loops::add);
         return loops;
     }
 
+    static ImmutableList<Task> tasks(Parts parts) {
+        return ImmutableList.of(
+                new Task(
+                        "registration",
+                        REGISTER_INTERVAL,
+                        () -> parts.registration().refresh()),
+                new Task("gossip", GOSSIP_INTERVAL, () -> parts.gossip().round()),
+                new Task("configuration", Duration.ZERO, () -> awaitConfiguration(parts.watch())),
+                new Task("vms", LIST_VMS_INTERVAL, () -> readVms(parts.watch())),
+                new Task("daemons", COUNT_DAEMONS_INTERVAL, () -> parts.state().updateDaemonCount()),
+                new Task("mover", MOVE_INTERVAL, () -> move(parts.mover())),
+                new Task("forget", REMOVE_EXPIRED_INTERVAL, () -> parts.claims().removeExpired()));
+    }
+
     @Override
     public void close() {
         threads.forEach(Thread::interrupt);
@@ -86,12 +109,12 @@
         }
     }
 
-    private void add(String name, Duration pause, Step step) {
-        threads.add(Thread.ofVirtual().name(name).start(() -> loop(name, pause, step)));
+    private void add(Task task) {
+        threads.add(Thread.ofVirtual().name(task.name()).start(() -> loop(task.name(), task.pause(), task.step())));
     }
 
     /**
-     * Runs {@code step} until interrupted. After each failure the pause doubles up to a limit and has random jitter,
+     * Runs {@code step} until interrupted. An error of any kind does not end the loop. After each failure the pause doubles up to a limit and has random jitter,
      * which keeps the daemons of a fleet from retrying at the same moment.
      */
     private void loop(String name, Duration pause, Step step) {
@@ -108,14 +131,26 @@
                 pauseAfterFailure(failures);
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 failures++;
-                LOG.errorf(e, "event=control_step_failed loop=%s failures=%d", name, failures);
+                report(name, failures, e);
                 pauseAfterFailure(failures);
             }
         }
     }
 
+    /** Counts and logs an error. If that fails too, as without memory, the loop goes on all the same. */
+    private void report(String name, int failures, Throwable error) {
+        try {
+            faultListener.accept(name);
+            LOG.errorf(error, "event=control_step_failed loop=%s failures=%d", name, failures);
+        } catch (RuntimeException | Error unreported) {
+            if (unreported != error) {
+                error.addSuppressed(unreported);
+            }
+        }
+    }
+
     private void pauseAfterFailure(int failures) {
         long maxMillis = Math.min(MAX_PAUSE.toMillis(), MIN_PAUSE.toMillis() << Math.min(failures, 10));
         try {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/BackgroundLoop.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/BackgroundLoop.java
@@ -82,12 +82,23 @@
             return pause;
         } catch (RuntimeException | Error e) {
             Duration pause = nextPauseAfterError();
-            faultListener.run();
-            LOG.errorf(e, "event=loop_fault name=%s retry_ms=%d error=%s", name, pause.toMillis(), e);
+            report(e, pause);
             return pause;
         }
     }
 
+    /** Counts and logs an error. If that fails too, as without memory, the loop goes on all the same. */
+    private void report(Throwable error, Duration pause) {
+        try {
+            faultListener.run();
+            LOG.errorf(error, "event=loop_fault name=%s retry_ms=%d error=%s", name, pause.toMillis(), error);
+        } catch (RuntimeException | Error unreported) {
+            if (unreported != error) {
+                error.addSuppressed(unreported);
+            }
+        }
+    }
+
     /** Returns a pause from half of the current maximum up to all of it, and doubles the maximum. */
     private Duration nextPauseAfterError() {
         long max = pauseAfterError.toNanos();
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -78,6 +78,7 @@
     private final Shutdown shutdown = new Shutdown(time);
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final EntryMetrics metrics = new EntryMetrics();
+    private final LoopHealth loopHealth = new LoopHealth(time);
     private final EntryDispatchers dispatchers;
     private final EntryRunner runner;
     private final FleetState state;
@@ -181,6 +182,7 @@
                 () -> state.unreadableConfiguration()
                         .map(each -> each.version().orElse(0))
                         .orElse(0L));
+        metrics.gauge("anvilpick_loops_stuck", loopHealth::stuckLoops);
         metrics.unreadableEntries(state::unreadableCounts);
     }
 
@@ -205,7 +207,15 @@
     }
 
     private void startLoop(String name, BackgroundLoop.Step step) {
-        BackgroundLoop.start(name, step, () -> metrics.loopFault(name));
+        BackgroundLoop.Step observed = () -> {
+            Duration pause = step.run();
+            loopHealth.recordSuccess(name);
+            return pause;
+        };
+        BackgroundLoop.start(name, observed, () -> {
+            metrics.loopFault(name);
+            loopHealth.recordFault(name);
+        });
     }
 
     /** Adopts those values of {@code next} that need no restart. Calls in flight are not affected. */
@@ -218,14 +228,21 @@
         return settings.current();
     }
 
-    /** Returns whether callers should use this daemon: it has a configuration and is not shutting down. */
+    /**
+     * Returns whether the daemon works as it should: it has a configuration, is not shutting down, and no background loop is stuck. A
+     * daemon with a stuck loop still accepts callers, because the same input may have stopped all daemons.
+     */
     public boolean isReady() {
+        return acceptsCallers() && loopHealth.stuckLoops() == 0;
+    }
+
+    private boolean acceptsCallers() {
         return !shutdown.isLeaving() && state.view().configuration().isPresent();
     }
 
     /** Returns the addresses of daemons for a caller in {@code zone} of {@code region}; empty if no daemon accepts callers. */
     public ImmutableList<String> addressesFor(String region, String zone) {
-        return addressSelector.addressesFor(region, zone, isReady());
+        return addressSelector.addressesFor(region, zone, acceptsCallers());
     }
 
     /** Returns the current view of the configuration, the targets and the daemons. */
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/CallMetrics.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/CallMetrics.java
@@ -41,7 +41,8 @@
                                 "anvilpick_calls_refused",
                                 Map.of("service", "${0}", "request", "${1}", "tenant", "${2}", "kind", "${3}")),
                         new MapperConfig("retries.*", "anvilpick_retries", Map.of("service", "${0}")),
-                        new MapperConfig("hedges.*", "anvilpick_hedges", Map.of("service", "${0}"))));
+                        new MapperConfig("hedges.*", "anvilpick_hedges", Map.of("service", "${0}")),
+                        new MapperConfig("loopFaults.*", "anvilpick_loop_faults", Map.of("loop", "${0}"))));
     }
 
     @Override
@@ -74,6 +75,11 @@
         registry.counter(MetricRegistry.name("hedges", service)).inc();
     }
 
+    /** Counts an error in the background loop {@code name}. */
+    public void loopFault(String name) {
+        registry.counter(MetricRegistry.name("loopFaults", name)).inc();
+    }
+
     /** Adds a gauge {@code name} whose value is supplied by {@code value}. */
     public void gauge(String name, Supplier<Number> value) {
         registry.registerGauge(name, value::get);
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/BackgroundLoopTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/BackgroundLoopTest.java
@@ -20,6 +20,7 @@
     private final List<Duration> sleeps = new ArrayList<>();
     private int runs;
     private int faults;
+    private boolean reportFails;
 
     /** Runs the loop until it has run {@code limit} steps. */
     private void run(int limit) {
@@ -33,7 +34,12 @@
                         throw new InterruptedException();
                     }
                 },
-                () -> faults++);
+                () -> {
+                    faults++;
+                    if (reportFails) {
+                        throw new StackOverflowError();
+                    }
+                });
         assertThrows(InterruptedException.class, loop::run);
     }
 
@@ -76,4 +82,15 @@
         run(1);
         assertTrue(sleeps.get(0).compareTo(BackgroundLoop.INITIAL_PAUSE_AFTER_ERROR) <= 0);
     }
+
+    /** Guards against a loop that ends because an error could not be counted or logged. */
+    @Test
+    void runsAgainAfterAnErrorThatCannotBeReported() {
+        reportFails = true;
+        errors.add(new OutOfMemoryError("full"));
+        errors.add(new IllegalStateException("fault"));
+        run(4);
+        assertEquals(4, runs);
+        assertEquals(2, faults);
+    }
 }
