A call to the store ends by its deadline, whatever becomes of its connection

What callers would see: a daemon that routes by an old configuration for good and says that it is ready.

Cause: the time-out of a call was set only once the call had reached its connection. A connection that the server closes before the listener of the connect runs has no handler left, the listener failed with a NullPointerException that the library logs, and the call never ended; the follower waits for it without a bound. A second attempt did not help, as the first one counted as running.

Now the client sets the time-out when it sends the call, apart from any connection; a connection that was closed at once is a call that was not sent. An ended call is not sent on further connections.

HttpServerClientTest#aCallEndsByItsDeadlineWhateverBecomesOfItsConnection, plain and hedged, on event loops on which a connect neither ends nor fails: no reply in 20 s before, passes now. The class passes (29 tests).

--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/ClientConnection.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/ClientConnection.java
@@ -18,8 +18,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.time.Duration;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,7 +36,6 @@
     private final Channel channel;
     private final TimeSource time;
     private @Nullable PendingCall current;
-    private @Nullable Future<?> timeout;
     private int interimResponses;
     private volatile Deadline idleDeadline;
 
@@ -86,8 +83,6 @@
         }
         current = next;
         interimResponses = 0;
-        long remaining = Math.max(0, next.call().deadline().remainingNanos(time.nanos()));
-        timeout = channel.eventLoop().schedule(() -> onTimeout(next), remaining, TimeUnit.NANOSECONDS);
         channel.writeAndFlush(requestOf(next.call())).addListener(written -> {
             if (!written.isSuccess()) {
                 fail("write failed");
@@ -95,11 +90,6 @@
         });
     }
 
-    private void onTimeout(PendingCall late) {
-        client.closeIdleConnections();
-        late.abort("no response in time");
-    }
-
     private FullHttpRequest requestOf(ServerCall call) {
         FullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -158,10 +148,6 @@
     private @Nullable PendingCall end() {
         PendingCall ended = current;
         current = null;
-        if (timeout != null) {
-            timeout.cancel(false);
-            timeout = null;
-        }
         return ended;
     }
 
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HedgedCall.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HedgedCall.java
@@ -12,20 +12,26 @@
     private final ReentrantLock lock = new ReentrantLock();
     private final HttpServerClient client;
     private final PendingCall whole;
+    private final ServerCall again;
     private final List<PendingCall> attempts = new ArrayList<>();
     private int running;
 
-    /** Creates a call whose reply completes {@code whole}, and ends the attempts once that is complete. */
-    HedgedCall(HttpServerClient client, PendingCall whole) {
+    /**
+     * Creates a call whose reply completes {@code whole}, and ends the attempts once that is complete.
+     *
+     * @param again the call of the second attempt
+     */
+    HedgedCall(HttpServerClient client, PendingCall whole, ServerCall again) {
         this.client = client;
         this.whole = whole;
+        this.again = again;
         whole.reply().thenAccept(reply -> abortAttempts());
     }
 
     /** Sends the call for the first time. */
     void send() {
-        PendingCall attempt = newAttempt();
-        client.dispatch(attempt);
+        PendingCall attempt = newAttempt(whole.call());
+        client.start(attempt);
     }
 
     /** Sends the call once more unless it is complete. */
@@ -33,16 +39,16 @@
         if (whole.isDone()) {
             return;
         }
-        PendingCall attempt = newAttempt();
+        PendingCall attempt = newAttempt(again);
         if (whole.isDone()) {
             attempt.abort();
             return;
         }
-        client.dispatchOnNewConnection(attempt);
+        client.startOnNewConnection(attempt);
     }
 
-    private PendingCall newAttempt() {
-        PendingCall attempt = new PendingCall(whole.call());
+    private PendingCall newAttempt(ServerCall call) {
+        PendingCall attempt = new PendingCall(call);
         lock.lock();
         try {
             attempts.add(attempt);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HttpServerClient.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HttpServerClient.java
@@ -68,21 +68,49 @@
             pending.complete(new ServerReply.NotSent("deadline passed"));
             return pending;
         }
-        dispatch(pending);
+        start(pending);
         return pending;
     }
 
+    /** Sends {@code pending}, which ends by its deadline. */
+    void start(PendingCall pending) {
+        endAtDeadline(pending);
+        dispatch(pending);
+    }
+
+    /** Sends {@code pending}, which ends by its deadline, on a new connection. */
+    void startOnNewConnection(PendingCall pending) {
+        endAtDeadline(pending);
+        dispatchOnNewConnection(pending);
+    }
+
+    /** Ends the call as lost at its deadline, whatever has become of its connection. */
+    private void endAtDeadline(PendingCall pending) {
+        long remaining = Math.max(0, pending.call().deadline().remainingNanos(time.nanos()));
+        Future<?> timeout = loops.schedule(() -> onTimeout(pending), remaining, TimeUnit.NANOSECONDS);
+        pending.reply().thenAccept(reply -> timeout.cancel(false));
+    }
+
+    private void onTimeout(PendingCall late) {
+        if (!late.isDone()) {
+            closeIdleConnections();
+            late.abort("no response in time");
+        }
+    }
+
     /**
-     * Sends an idempotent {@code call}, and sends it once more on a new connection if it has no response by {@code overdueAt}. Its
+     * Sends an idempotent {@code call}, and sends {@code again} on a new connection if it has no response by {@code overdueAt}. Its
      * connection may have lost its packets without being closed. The first response counts.
+     *
+     * @param again the second call, which has the effect of {@code call} and may ask the server for a faster response
      */
-    public PendingCall sendHedged(ServerCall call, Deadline overdueAt) {
+    public PendingCall sendHedged(ServerCall call, ServerCall again, Deadline overdueAt) {
         PendingCall pending = new PendingCall(call);
         if (call.deadline().hasPassed(time)) {
             pending.complete(new ServerReply.NotSent("deadline passed"));
             return pending;
         }
-        HedgedCall hedged = new HedgedCall(this, pending);
+        HedgedCall hedged = new HedgedCall(this, pending, again);
         hedged.send();
         long remaining = Math.max(0, overdueAt.remainingNanos(time.nanos()));
         Future<?> timer = loops.schedule(hedged::sendAgain, remaining, TimeUnit.NANOSECONDS);
@@ -92,6 +120,9 @@
 
     /** Sends {@code pending} on an idle connection, or on a new one if there is none. */
     void dispatch(PendingCall pending) {
+        if (pending.isDone()) {
+            return;
+        }
         ClientConnection connection = acquire();
         if (connection != null) {
             connection.send(pending);
@@ -100,15 +131,20 @@
         dispatchOnNewConnection(pending);
     }
 
-    /** Sends {@code pending} on a new connection. */
-    void dispatchOnNewConnection(PendingCall pending) {
+    private void dispatchOnNewConnection(PendingCall pending) {
         ChannelFuture connecting = bootstrap.connect(address);
         connecting.addListener(connected -> {
-            if (connected.isSuccess()) {
-                connecting.channel().pipeline().get(ClientConnection.class).send(pending);
-            } else {
+            if (!connected.isSuccess()) {
                 pending.complete(new ServerReply.NotSent(
                         "no connection: " + connected.cause().getClass().getSimpleName()));
+                return;
+            }
+            // Absent if the server has closed the connection already.
+            ClientConnection opened = connecting.channel().pipeline().get(ClientConnection.class);
+            if (opened == null) {
+                pending.complete(new ServerReply.NotSent("connection closed at once"));
+            } else {
+                opened.send(pending);
             }
         });
     }
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/ScriptedServer.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/ScriptedServer.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** A fake server that answers each request with the next enqueued bytes. */
@@ -39,6 +40,8 @@
     private final CountDownLatch endlessAnswerClosed = new CountDownLatch(1);
     private final AtomicLong endlessBytes = new AtomicLong();
 
+    private final Semaphore received = new Semaphore(0);
+
     /** The requests received so far. */
     public final List<String> requests = new CopyOnWriteArrayList<>();
 
@@ -54,6 +57,12 @@
         Thread.ofVirtual().start(this::accept);
     }
 
+    /** Waits until {@code count} requests have been received. */
+    public void awaitRequests(int count) throws InterruptedException {
+        received.acquire(count);
+        received.release(count);
+    }
+
     /** Returns the port on which the server listens. */
     public int port() {
         return server.getLocalPort();
@@ -98,6 +107,7 @@
                 }
                 requests.add(request);
                 firstRequest.countDown();
+                received.release();
                 if (!answer(socket, steps.take())) {
                     return;
                 }
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/http/HttpServerClientTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/http/HttpServerClientTest.java
@@ -10,6 +10,8 @@
 import io.anvilpick.daemon.ScriptedServer.Ending;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.ManualTimeSource;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -135,7 +137,7 @@
     private ServerReply getHedged(Duration overdueAfter) {
         Deadline deadline = Deadline.after(time, Duration.ofSeconds(30));
         ServerCall call = new ServerCall("GET", "/watch", new byte[0], deadline);
-        return client.sendHedged(call, Deadline.after(time, overdueAfter))
+        return client.sendHedged(call, call, Deadline.after(time, overdueAfter))
                 .reply()
                 .join();
     }
@@ -151,6 +153,33 @@
         assertEquals(server.requests.get(2), server.requests.get(3));
     }
 
+    /** Event loops on which no connection is ever made and no attempt to make one fails. */
+    private static final class UnconnectedLoops extends MultiThreadIoEventLoopGroup {
+        private UnconnectedLoops() {
+            super(1, NioIoHandler.newFactory());
+        }
+
+        @Override
+        public ChannelFuture register(Channel channel) {
+            return channel.newPromise();
+        }
+    }
+
+    /** Guards against a thread that waits for ever for a call whose connection has been lost track of (issue 36). */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aCallEndsByItsDeadlineWhateverBecomesOfItsConnection(boolean hedged) throws Exception {
+        EventLoopGroup loops = new UnconnectedLoops();
+        HttpServerClient unconnected =
+                new HttpServerClient(loops, HostAndPort.fromParts("127.0.0.1", server.port()), time);
+        ServerCall call = new ServerCall("GET", "/", new byte[0], Deadline.after(time, Duration.ofMillis(2)));
+        PendingCall pending = hedged
+                ? unconnected.sendHedged(call, call, Deadline.after(time, Duration.ofMillis(1)))
+                : unconnected.send(call);
+        assertInstanceOf(ServerReply.Lost.class, pending.reply().get(20, TimeUnit.SECONDS));
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
     @Test
     void aCallThatIsAnsweredInTimeIsSentOnce() {
         server.enqueue(EMPTY_ANSWER, Ending.KEEP);
@@ -164,7 +193,7 @@
         server.enqueue("", Ending.CLOSE);
         Deadline deadline = Deadline.after(time, Duration.ofMillis(300));
         ServerCall call = new ServerCall("GET", "/watch", new byte[0], deadline);
-        PendingCall pending = client.sendHedged(call, Deadline.after(time, Duration.ofMillis(1)));
+        PendingCall pending = client.sendHedged(call, call, Deadline.after(time, Duration.ofMillis(1)));
         assertEquals(
                 new ServerReply.Lost("no response in time"), pending.reply().join());
     }
