A refusal of a second attempt does not end the first one

What callers would see: one late watch of a busy store, asked once more and turned away with 429 or 503, counts as the loss of the store, although the first attempt would be answered.

Cause: each response ended the call, also one that says that the server did not serve it. Now such a response ends the call only if no other attempt is running.

--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HedgedCall.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HedgedCall.java
@@ -5,10 +5,13 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * An idempotent call that is sent once more, on a new connection, if it has no reply after a while. The first response is the reply,
+ * An idempotent call that is sent once more, on a new connection, if it has no reply after a while. The first response that does not turn the call away is the reply,
  * and the connection of the other attempt is closed. Thread safe; guarded by its lock.
  */
 final class HedgedCall {
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int FIRST_SERVER_ERROR = 500;
+
     private final ReentrantLock lock = new ReentrantLock();
     private final HttpServerClient client;
     private final PendingCall whole;
@@ -70,18 +73,22 @@
         } finally {
             lock.unlock();
         }
-        boolean responded =
-                switch (reply) {
-                    case ServerReply.Answered ignored -> true;
-                    case ServerReply.TooLarge ignored -> true;
-                    case ServerReply.NotSent ignored -> false;
-                    case ServerReply.Lost ignored -> false;
-                };
-        if (responded || last) {
+        if (last || isUsable(reply)) {
             whole.complete(reply);
         }
     }
 
+    /** Returns whether no other attempt can have a better reply. A server that turns one attempt away may answer the other. */
+    private static boolean isUsable(ServerReply reply) {
+        return switch (reply) {
+            case ServerReply.Answered answered ->
+                answered.status() != TOO_MANY_REQUESTS && answered.status() < FIRST_SERVER_ERROR;
+            case ServerReply.TooLarge ignored -> true;
+            case ServerReply.NotSent ignored -> false;
+            case ServerReply.Lost ignored -> false;
+        };
+    }
+
     private void abortAttempts() {
         List<PendingCall> started;
         lock.lock();
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/http/HttpServerClientTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/http/HttpServerClientTest.java
@@ -153,6 +153,22 @@
         assertEquals(server.requests.get(2), server.requests.get(3));
     }
 
+    /** Guards against a second attempt that the server turns away and that ends the first one, which is only slow (issue 36). */
+    @ParameterizedTest
+    @ValueSource(strings = {"429 Too Many Requests", "503 Service Unavailable"})
+    void refusalOfTheSecondAttemptDoesNotEndTheFirst(String refusal) throws Exception {
+        server.enqueue("", Ending.KEEP);
+        server.enqueue("HTTP/1.1 " + refusal + "\r\nContent-Length: 0\r\n\r\n", Ending.KEEP);
+        Deadline deadline = Deadline.after(time, Duration.ofSeconds(30));
+        ServerCall call = new ServerCall("GET", "/watch", new byte[0], deadline);
+        PendingCall pending = client.sendHedged(call, call, Deadline.after(time, Duration.ofMillis(1)));
+        server.awaitRequests(2);
+        server.enqueue(EMPTY_ANSWER, Ending.KEEP);
+        answered(get());
+        server.connections.getFirst().getOutputStream().write(EMPTY_ANSWER.getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals(204, answered(pending.reply().join()).status());
+    }
+
     /** Event loops on which no connection is ever made and no attempt to make one fails. */
     private static final class UnconnectedLoops extends MultiThreadIoEventLoopGroup {
         private UnconnectedLoops() {
