--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/WatchTimes.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/WatchTimes.java
@@ -15,9 +15,9 @@
  */
 public record WatchTimes(Duration bound) {
     private static final int WAIT_PERCENT = 45;
-    private static final int MARGIN_PERCENT = 12;
+    private static final int MARGIN_PERCENT = 15;
     private static final int PAUSE_PERCENT = 20;
-    private static final int RELAY_AGE_PERCENT = 62;
+    private static final int RELAY_AGE_PERCENT = 64;
 
     /** The minimum bound. A shorter one would cost many calls to the store. */
     public static final Duration MIN_BOUND = Duration.ofMillis(200);
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
@@ -117,12 +117,12 @@
         assertEquals(List.of("readAll"), store.calls);
     }
 
-    /** A relay reads at the end of each wait. A store that answers a quarter of a second late delays that. */
+    /** A relay reads at the end of each wait. A store that answers 350 ms late delays that. */
     @Test
     void answeredWaitsKeepARelayCurrentWithoutChanges() throws Exception {
         registerMembers(SELF, RELAY);
         relayHasRead(20);
-        Duration lateness = Duration.ofMillis(250);
+        Duration lateness = Duration.ofMillis(350);
         for (int wait = 0; wait < 3; wait++) {
             time.advance(TIMES.maxWait().plus(lateness));
             follower.step();
