A single failed call to the store no longer keeps targets that have left

What callers would see: requests at a target whose entry was removed, for up to 2.1 s after the store had answered again; the bound is drainMs, 2 s. Found by the reviewer, by reading; no run of real daemons shows that it happened there.

Cause: after any failed call the store counted as unavailable, and its next answer began the grace in which the registrations of a service of which more than half disappear are kept. One lost watch or renewal is no outage in which registrations lapse: that takes three heartbeats of silence.

Now the grace begins only if the store had not answered this daemon for 3.2 s, which is longer than one lost renewal and its retry take.

FleetStateTest#onlyTargetOfAServiceIsRemovedAtOnceAfterASingleFailedCall failed before (expected [], was [a]). Two tests of the grace named an outage of no length; they now advance the clock by its minimum and assert the same.

--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -25,8 +25,8 @@
  * The state of the fleet as this daemon holds it. Thread safe: writers share one lock, and views are read without locking.
  *
  * <p>While the store is unavailable, registrations may lapse although their owners are alive, and many of them then disappear at
- * once. If more than half of a service's targets, or of a region's daemons, disappear while the store is unavailable or within
- * {@link #REREGISTRATION_GRACE} after it is available again, they are kept. They are removed if they have not registered again
+ * once. If more than half of a service's targets, or of a region's daemons, disappear while the store is unavailable, or within
+ * {@link #REREGISTRATION_GRACE} after it is available again following an outage of {@link #MIN_OUTAGE}, they are kept. They are removed if they have not registered again
  * when that time has passed.
  *
  * <p>A configuration is never replaced by an older one.
@@ -35,6 +35,12 @@
     /** Time within which live owners register again once the store is available again. */
     public static final Duration REREGISTRATION_GRACE = Duration.ofMillis(2_100);
 
+    /**
+     * Time without an answer of the store after which registrations may have lapsed although their owners are alive. It is longer
+     * than one lost renewal of a lease takes, until the next one is answered.
+     */
+    static final Duration MIN_OUTAGE = Duration.ofMillis(3_200);
+
     private static final Logger LOG = Logger.getLogger(FleetState.class);
 
     private final ReentrantLock lock = new ReentrantLock();
@@ -46,6 +52,7 @@
     private @Nullable RouteConfiguration configuration;
     private boolean storeUnavailable;
     private long graceEndNanos;
+    private long lastAnswerNanos;
     private volatile FleetView view = FleetView.empty();
 
     /** The last view that the listener has taken. It is another object than {@link #view} until the listener has taken that. */
@@ -64,6 +71,7 @@
         this.time = time;
         this.listener = listener;
         this.graceEndNanos = time.nanos();
+        this.lastAnswerNanos = graceEndNanos;
     }
 
     /** Returns the current view. */
@@ -97,15 +105,19 @@
         }
     }
 
-    /** Records that the store answered. Starts {@link #REREGISTRATION_GRACE} if the store was unavailable. */
+    /** Records that the store answered. Starts {@link #REREGISTRATION_GRACE} if it had not answered for {@link #MIN_OUTAGE}. */
     public void onStoreAnswered() {
         lock.lock();
         try {
+            long now = time.nanos();
             if (storeUnavailable) {
                 storeUnavailable = false;
-                graceEndNanos = time.nanos() + REREGISTRATION_GRACE.toNanos();
-                LOG.infof("event=store_regained lapsed_kept_ms=%d", REREGISTRATION_GRACE.toMillis());
+                boolean mayHaveLapsed = now - lastAnswerNanos >= MIN_OUTAGE.toNanos();
+                graceEndNanos = mayHaveLapsed ? now + REREGISTRATION_GRACE.toNanos() : graceEndNanos;
+                LOG.infof(
+                        "event=store_regained lapsed_kept_ms=%d", mayHaveLapsed ? REREGISTRATION_GRACE.toMillis() : 0);
             }
+            lastAnswerNanos = now;
         } finally {
             lock.unlock();
         }
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
@@ -18,6 +18,8 @@
 import java.util.OptionalLong;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class FleetStateTest {
     private final ManualTimeSource time = ManualTimeSource.startingAt(0);
@@ -62,10 +64,23 @@
         assertEquals(List.of("a"), ids());
     }
 
+    /** Guards against requests at a target that has left, because one call to the store had failed (issue 36). */
+    @ParameterizedTest
+    @ValueSource(longs = {200, 3_000})
+    void onlyTargetOfAServiceIsRemovedAtOnceAfterASingleFailedCall(long millis) {
+        registerTargets("a");
+        state.onStoreUnavailable("no response in time");
+        time.advance(Duration.ofMillis(millis));
+        state.onStoreAnswered();
+        state.apply(List.of(new FleetChange.TargetRemoved("a")));
+        assertEquals(List.of(), ids());
+    }
+
     @Test
     void lapsedTargetIsRemovedAfterASecondOutage() {
         registerTargets("a");
         state.onStoreUnavailable("no answer");
+        time.advance(FleetState.MIN_OUTAGE);
         state.onStoreAnswered();
         state.apply(List.of(new FleetChange.TargetRemoved("a")));
         state.onStoreUnavailable("no answer again");
@@ -94,6 +109,7 @@
     void lapsedTargetThatRegistersAsLeavingGetsNoCalls() {
         registerTargets("a");
         state.onStoreUnavailable("no answer");
+        time.advance(FleetState.MIN_OUTAGE);
         state.onStoreAnswered();
         state.apply(List.of(new FleetChange.TargetRemoved("a")));
         state.apply(List.of(new FleetChange.TargetRegistered(target("a", "s", true))));
