--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -26,8 +26,8 @@
  *
  * <p>While the store is unavailable, registrations may lapse although their owners are alive, and many of them then disappear at
  * once. If more than half of a service's targets, or of a region's daemons, disappear while the store is unavailable, or within
- * {@link #REREGISTRATION_GRACE} after it is available again following an outage of {@link #MIN_OUTAGE}, they are kept. They are removed if they have not registered again
- * when that time has passed.
+ * {@link #REREGISTRATION_GRACE} after it is available again following an outage of {@link #MIN_OUTAGE}, they are kept. They are
+ * removed if they have not registered again when that time has passed.
  *
  * <p>A configuration is never replaced by an older one.
  */
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/WatchTimes.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/WatchTimes.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * How long a daemon waits for changes, so that a wait that gets no response is noticed in time.
@@ -20,10 +21,10 @@
     private static final int RELAY_AGE_PERCENT = 64;
 
     /** The minimum bound. A shorter one would cost many calls to the store. */
-    public static final Duration MIN_BOUND = Duration.ofMillis(200);
+    private static final Duration MIN_BOUND = Duration.ofMillis(200);
 
     /** The bound of a deployment that states none. */
-    public static final Duration DEFAULT_BOUND = Duration.ofSeconds(2);
+    static final Duration DEFAULT_BOUND = Duration.ofSeconds(2);
 
     /** Times are derived from this bound if the actual one is longer. */
     private static final Duration MAX_BOUND = Duration.ofSeconds(16);
@@ -34,6 +35,15 @@
         checkArgument(bound.compareTo(MIN_BOUND) >= 0, "bound must be at least %s: %s", MIN_BOUND, bound);
     }
 
+    /**
+     * Returns the times for changes that must be in force within the smaller of two bounds. One that is not stated counts as
+     * {@link #DEFAULT_BOUND}, a shorter one than {@link #MIN_BOUND} as that.
+     */
+    public static WatchTimes within(Optional<Duration> configurationBound, Optional<Duration> drainBound) {
+        Duration smaller = shorter(configurationBound.orElse(DEFAULT_BOUND), drainBound.orElse(DEFAULT_BOUND));
+        return new WatchTimes(smaller.compareTo(MIN_BOUND) < 0 ? MIN_BOUND : smaller);
+    }
+
     /** Returns the time for which a call waits for changes. */
     public Duration maxWait() {
         return percent(WAIT_PERCENT);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/ControlLoops.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/ControlLoops.java
@@ -114,8 +114,8 @@
     }
 
     /**
-     * Runs {@code step} until interrupted. An error of any kind does not end the loop. After each failure the pause doubles up to a limit and has random jitter,
-     * which keeps the daemons of a fleet from retrying at the same moment.
+     * Runs {@code step} until interrupted. An error of any kind does not end the loop. After each failure the pause doubles up to a
+     * limit and has random jitter, which keeps the daemons of a fleet from retrying at the same moment.
      */
     private void loop(String name, Duration pause, Step step) {
         int failures = 0;
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
@@ -9,6 +9,7 @@
 import io.anvilpick.fleet.WatchTimes;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -76,7 +77,7 @@
         private @Nullable SharedBudget extraCalls;
         private @Nullable Duration grace;
         private @Nullable Duration addressesGoodFor;
-        private WatchTimes watchTimes = new WatchTimes(WatchTimes.DEFAULT_BOUND);
+        private WatchTimes watchTimes = WatchTimes.within(Optional.empty(), Optional.empty());
 
         private Builder(EntryMember self) {
             this.self = self;
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HedgedCall.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HedgedCall.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * An idempotent call that is sent once more, on a new connection, if it has no reply after a while. The first response that does not turn the call away is the reply,
- * and the connection of the other attempt is closed. Thread safe; guarded by its lock.
+ * An idempotent call that is sent once more, on a new connection, if it has no reply after a while. The first response that does not
+ * turn the call away is the reply, and the connection of the other attempt is closed. Thread safe; guarded by its lock.
  */
 final class HedgedCall {
     private static final int TOO_MANY_REQUESTS = 429;
