--- /dev/null
+++ b/anvilpick-core/src/main/java/io/anvilpick/allowances/package-info.java
@@ -0,0 +1,5 @@
+/** Allowances of tenants, which all daemons share. */
+@NullMarked
+package io.anvilpick.allowances;
+
+import org.jspecify.annotations.NullMarked;
--- a/anvilpick-core/src/main/java/io/anvilpick/calls/HedgedExchange.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/calls/HedgedExchange.java
@@ -74,18 +74,18 @@
             scheduleHedge(running, first);
         }
         try {
-            return awaitAnswer(running, first, plan.prober());
+            return awaitAnswer(running, first, plan);
         } finally {
             running.exchanges().forEach(Exchange::cancel);
         }
     }
 
-    private Attempt awaitAnswer(Running running, Assignment first, LoadProber prober) throws InterruptedException {
+    private Attempt awaitAnswer(Running running, Assignment first, SendPlan plan) throws InterruptedException {
         int ended = 0;
         Signal.Ended best = null;
         while (true) {
             switch (running.signals().take()) {
-                case Signal.Late ignored -> hedge(running, first, prober);
+                case Signal.Late ignored -> hedge(running, first, plan);
                 case Signal.Ended signal -> {
                     ended++;
                     if (signal.reply().mayHaveRun()) {
@@ -96,7 +96,7 @@
                             && ended < running.exchanges().size()
                             && signal.reply() instanceof TargetReply.NotSent) {
                         // One exchange reached no target while another is still in flight: the call is still late.
-                        hedge(running, first, prober);
+                        hedge(running, first, plan);
                     }
                     if (isGood(best.reply()) || ended == running.exchanges().size()) {
                         return new Attempt(
@@ -156,9 +156,12 @@
         }
     }
 
-    private void hedge(Running running, Assignment first, LoadProber prober) throws InterruptedException {
+    private void hedge(Running running, Assignment first, SendPlan plan) throws InterruptedException {
+        if (plan.permission().refusal().isPresent()) {
+            return;
+        }
         Set<String> tried = Set.copyOf(running.targets());
-        prober.measure(running.dispatcher(), first.call(), tried);
+        plan.prober().measure(running.dispatcher(), first.call(), tried);
         Optional<Assignment> second = running.dispatcher().hedge(first, tried);
         if (second.isEmpty()) {
             return;
--- a/anvilpick-core/src/main/java/io/anvilpick/calls/Sender.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/calls/Sender.java
@@ -80,6 +80,14 @@
             if (assignment.isEmpty()) {
                 return ending.answerOrThrow();
             }
+            Optional<ErrorKind> forbidden = plan.permission().refusal();
+            if (forbidden.isPresent()) {
+                waiters.wake(dispatcher.finish(assignment.get(), new CallResult.Cancelled()));
+                if (attempt > 0) {
+                    return ending.answerOrThrow();
+                }
+                throw new CallException(forbidden.get(), "the call was not sent: " + forbidden.get());
+            }
             CallRequest sent = request.withDeadline(call.deadline(), request.attempt() + attempt);
             Attempt outcome = hedging.run(dispatcher, assignment.get(), sent, plan, plan.maxTargets() - reached.size());
             boolean arrived = !(outcome.reply() instanceof TargetReply.NotSent);
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryRequest.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryRequest.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import io.anvilpick.calls.Header;
+import io.anvilpick.tenants.Credential;
 import io.anvilpick.time.Deadline;
+import java.util.Optional;
 
 /**
  * A caller's request, independent of the protocol by which it arrived.
@@ -11,10 +13,11 @@
  * @param host host that the caller requested, without a port
  * @param method HTTP method
  * @param path path and query, unchanged
- * @param headers headers to forward to the target
+ * @param headers headers to forward to the target, without the API key
  * @param body the complete body
  * @param arrivedNanos monotonic time of arrival
  * @param deadline time after which the caller no longer waits
+ * @param credential the caller's API key; empty if it sent none
  */
 public record EntryRequest(
         String id,
@@ -24,7 +27,21 @@
         ImmutableList<Header> headers,
         byte[] body,
         long arrivedNanos,
-        Deadline deadline) {
+        Deadline deadline,
+        Optional<Credential> credential) {
+    /** Creates a request without an API key. */
+    public EntryRequest(
+            String id,
+            String host,
+            String method,
+            String path,
+            ImmutableList<Header> headers,
+            byte[] body,
+            long arrivedNanos,
+            Deadline deadline) {
+        this(id, host, method, path, headers, body, arrivedNanos, deadline, Optional.empty());
+    }
+
     /** Returns the path without its query. */
     public String pathWithoutQuery() {
         int query = path.indexOf('?');
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryRunner.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryRunner.java
@@ -1,5 +1,8 @@
 package io.anvilpick.entry;
 
+import io.anvilpick.allowances.AllowanceDecision;
+import io.anvilpick.allowances.AllowanceLimiter;
+import io.anvilpick.allowances.AllowancePermit;
 import io.anvilpick.calls.CallAnswer;
 import io.anvilpick.calls.CallRequest;
 import io.anvilpick.calls.CrashProtection;
@@ -10,12 +13,16 @@
 import io.anvilpick.calls.Sender;
 import io.anvilpick.dispatch.Call;
 import io.anvilpick.dispatch.Dispatcher;
+import io.anvilpick.error.AnswerTable;
 import io.anvilpick.error.CallException;
 import io.anvilpick.error.ErrorKind;
+import io.anvilpick.error.Outcome;
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.routes.Route;
 import io.anvilpick.routes.RouteConfiguration;
 import io.anvilpick.routes.WeightedRoundRobin;
+import io.anvilpick.tenants.Tenant;
+import io.anvilpick.tenants.TenantHeaders;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
 import java.time.Duration;
@@ -26,6 +33,7 @@
 /** Runs requests that are routed by host and path. Thread safe; each request blocks the calling thread. */
 public final class EntryRunner {
     private static final String NO_TENANT = "";
+    private static final TenantHeaders NO_HEADERS = new TenantHeaders("", "");
 
     private final Supplier<FleetView> view;
     private final EntryDispatchers dispatchers;
@@ -34,6 +42,8 @@
     private final CrashProtection crashes;
     private final EntryEvents events;
     private final TimeSource time;
+    private final RequestAuthorizer authorizer;
+    private final AllowanceLimiter allowances;
     private final WeightedRoundRobin roundRobin = new WeightedRoundRobin();
     private final AtomicLong nextCallId = new AtomicLong();
 
@@ -45,7 +55,30 @@
             ProbeClient probes,
             CrashProtection crashes,
             EntryEvents events,
-            TimeSource time) {}
+            TimeSource time,
+            RequestAuthorizer authorizer,
+            AllowanceLimiter allowances) {
+        /** Creates the dependencies of a runner that needs no keys and limits no tenants. */
+        public Parts(
+                Supplier<FleetView> view,
+                EntryDispatchers dispatchers,
+                Sender sender,
+                ProbeClient probes,
+                CrashProtection crashes,
+                EntryEvents events,
+                TimeSource time) {
+            this(
+                    view,
+                    dispatchers,
+                    sender,
+                    probes,
+                    crashes,
+                    events,
+                    time,
+                    new RequestAuthorizer(NO_HEADERS, () -> false),
+                    AllowanceLimiter.unlimited());
+        }
+    }
 
     /** Creates a runner. */
     public EntryRunner(Parts parts) {
@@ -56,6 +89,8 @@
         this.crashes = parts.crashes();
         this.events = parts.events();
         this.time = parts.time();
+        this.authorizer = parts.authorizer();
+        this.allowances = parts.allowances();
     }
 
     /**
@@ -103,21 +138,61 @@
         Route route = configuration
                 .routes()
                 .find(request.host(), request.pathWithoutQuery())
-                .orElseThrow(() -> new CallException(
-                        ErrorKind.UNKNOWN_REQUEST, "path: no route of host '" + request.host() + "' matches it"));
+                .orElseThrow(() -> authorizer.noRoute(configuration, request));
+        Optional<Tenant> tenant = authorizer.tenantOf(configuration, route, request);
         String service = roundRobin.next(route);
         trace.routed(route, service);
         Optional<Dispatcher> dispatcher = dispatchers.find(service);
         if (dispatcher.isEmpty()) {
             throw new CallException(ErrorKind.NO_TARGET, "no target of service " + service + " is known");
         }
-        CallRequest callRequest = callRequestOf(request, route, service);
+        CallRequest callRequest = callRequestOf(request, route, service, configuration, tenant);
         crashes.awaitPermission(callRequest);
-        return sender.send(
-                dispatcher.get(),
-                callOf(request, route, trace),
-                callRequest,
-                new SendPlan(route.attempts(), true, proberOf(configuration, service)));
+        SendPlan plan = new SendPlan(
+                route.attempts(),
+                true,
+                proberOf(configuration, service),
+                () -> refusalOfSend(configuration, route, request));
+        Call call = callOf(request, route, trace, tenant);
+        if (tenant.isEmpty()) {
+            return sender.send(dispatcher.get(), call, callRequest, plan);
+        }
+        return sendWithinAllowance(dispatcher.get(), call, callRequest, plan, tenant.get());
+    }
+
+    private CallAnswer sendWithinAllowance(
+            Dispatcher dispatcher, Call call, CallRequest request, SendPlan plan, Tenant tenant)
+            throws CallException, InterruptedException {
+        AllowancePermit permit =
+                switch (allowances.acquire(tenant, call.deadline())) {
+                    case AllowanceDecision.Within within -> within.permit();
+                    case AllowanceDecision.Exceeded exceeded ->
+                        throw new CallException(
+                                ErrorKind.ALLOWANCE_EXCEEDED,
+                                "tenant " + tenant.name() + " has used its allowance",
+                                Optional.of(exceeded.retryAfter()));
+                    case AllowanceDecision.Unavailable unavailable ->
+                        throw new CallException(
+                                ErrorKind.ALLOWANCE_UNAVAILABLE,
+                                "no daemon that grants the allowance of tenant " + tenant.name() + " has answered",
+                                Optional.of(unavailable.retryAfter()));
+                };
+        try {
+            return sender.send(dispatcher, call, request, plan);
+        } catch (CallException e) {
+            if (AnswerTable.answerFor(e.kind()).outcome() == Outcome.NOT_RUN) {
+                permit.giveBack();
+            }
+            throw e;
+        }
+    }
+
+    /** Returns why a request may not be sent now, although the configuration by which it was accepted allowed it. */
+    private Optional<ErrorKind> refusalOfSend(RouteConfiguration accepted, Route route, EntryRequest request) {
+        return view.get()
+                .configuration()
+                .filter(current -> current != accepted)
+                .flatMap(current -> authorizer.refusalOfSend(current, route, request));
     }
 
     private LoadProber proberOf(RouteConfiguration configuration, String service) {
@@ -135,19 +210,29 @@
         return request.deadline().earlier(deadlineAfter(request, route.timeoutMillis()));
     }
 
-    private static Call callOf(EntryRequest request, Route route, EntryTrace trace) {
+    private static Call callOf(EntryRequest request, Route route, EntryTrace trace, Optional<Tenant> tenant) {
         Deadline deadline = deadlineOf(request, route);
         Deadline goal = deadline.earlier(deadlineAfter(request, route.goalMillis()));
-        return new Call(trace.callId(), NO_TENANT, route.requestClass(), deadline, goal);
+        return new Call(
+                trace.callId(),
+                tenant.map(Tenant::name).orElse(NO_TENANT),
+                tenant.map(route::requestClass).orElseGet(route::requestClass),
+                deadline,
+                goal);
     }
 
-    private static CallRequest callRequestOf(EntryRequest request, Route route, String service) {
+    private CallRequest callRequestOf(
+            EntryRequest request,
+            Route route,
+            String service,
+            RouteConfiguration configuration,
+            Optional<Tenant> tenant) {
         return new CallRequest(
                 service,
-                NO_TENANT,
+                tenant.map(Tenant::name).orElse(NO_TENANT),
                 request.method(),
                 request.path(),
-                request.headers(),
+                authorizer.forwardedHeaders(configuration, request, tenant),
                 request.body(),
                 Optional.empty(),
                 deadlineOf(request, route),
--- a/anvilpick-core/src/main/java/io/anvilpick/error/AnswerTable.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/error/AnswerTable.java
@@ -30,6 +30,9 @@
         return switch (kind) {
             case INVALID_REQUEST, KEY_REQUIRED -> notRun(400, Resend.NEVER, 0);
             case UNKNOWN_SERVICE, UNKNOWN_REQUEST -> notRun(404, Resend.NEVER, 0);
+            case UNKNOWN_CREDENTIAL -> notRun(401, Resend.NEVER, 0);
+            case ALLOWANCE_EXCEEDED -> notRun(429, Resend.SAFE, LONG_WAIT_MILLIS);
+            case ALLOWANCE_UNAVAILABLE, CONFIGURATION_MAY_BE_OLD -> notRun(503, Resend.SAFE, SHORT_WAIT_MILLIS);
             case BODY_TOO_LARGE -> notRun(413, Resend.NEVER, 0);
             case KEY_MISMATCH -> notRun(422, Resend.NEVER, 0);
             case KEY_IN_PROGRESS -> unknown(409, Resend.SAME_KEY, LONG_WAIT_MILLIS);
--- a/anvilpick-core/src/main/java/io/anvilpick/error/ErrorKind.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/error/ErrorKind.java
@@ -8,6 +8,14 @@
     UNKNOWN_SERVICE,
     /** No request class of the service matches the method and path. */
     UNKNOWN_REQUEST,
+    /** The request has no API key, or one that no tenant holds. */
+    UNKNOWN_CREDENTIAL,
+    /** The tenant has used its allowance. */
+    ALLOWANCE_EXCEEDED,
+    /** No daemon that grants the tenant's allowance has answered. */
+    ALLOWANCE_UNAVAILABLE,
+    /** A newer configuration may allow what the one in force on this daemon does not. */
+    CONFIGURATION_MAY_BE_OLD,
     /** The body is larger than the limit. */
     BODY_TOO_LARGE,
     /** A non-idempotent call came without an idempotency key. */
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/ViewFreshness.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/ViewFreshness.java
@@ -91,6 +91,11 @@
         }
     }
 
+    /** Returns whether the content is so old that changes which should be in force by now may be missing. */
+    public boolean isOld() {
+        return age().compareTo(maxAge) > 0;
+    }
+
     /** Returns the revision of the store up to which this daemon has read. */
     public long revision() {
         lock.lock();
--- a/anvilpick-core/src/main/java/io/anvilpick/messages/PeerReply.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/messages/PeerReply.java
@@ -8,6 +8,7 @@
 import io.anvilpick.fleet.RelayedUpdate;
 import io.anvilpick.membership.LeavingList;
 import io.anvilpick.membership.MemberDigest;
+import java.time.Duration;
 import java.util.Optional;
 
 /** A reply to a {@link PeerRequest}. */
@@ -49,6 +50,14 @@
     /** The changes that the replying daemon has read from the store after the requested revision, or all items. */
     record StoreUpdate(RelayedUpdate relayed) implements PeerReply {}
 
+    /**
+     * The tokens granted for an {@link AllowanceRequest}.
+     *
+     * @param granted number of tokens, which may be zero
+     * @param retryAfter time after which the grantor expects to have a token again
+     */
+    record AllowanceGrant(int granted, Duration retryAfter) implements PeerReply {}
+
     /** The request could not be decoded or served. */
     record Rejected(String reason) implements PeerReply {}
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/messages/PeerRequest.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/messages/PeerRequest.java
@@ -11,4 +11,5 @@
                 ConfigPartsRequest,
                 CrashReportRequest,
                 StoreUpdateRequest,
+                AllowanceRequest,
                 CrashClearedRequest {}
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/PeerService.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/control/PeerService.java
@@ -9,6 +9,7 @@
 import io.anvilpick.membership.LeavingList;
 import io.anvilpick.membership.Member;
 import io.anvilpick.membership.MemberDigest;
+import io.anvilpick.messages.AllowanceRequest;
 import io.anvilpick.messages.ClaimReleaseRequest;
 import io.anvilpick.messages.ClaimSettleRequest;
 import io.anvilpick.messages.ClaimVoteRequest;
@@ -70,6 +71,7 @@
             }
             case StoreUpdateRequest ignored ->
                 new PeerReply.Rejected("follow: this daemon does not read the store for others");
+            case AllowanceRequest ignored -> new PeerReply.Rejected("allowance: this daemon grants none");
         };
     }
 
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
+import io.anvilpick.allowances.AllowanceLimiter;
 import io.anvilpick.calls.Sender;
 import io.anvilpick.crashes.CrashHistory;
 import io.anvilpick.daemon.metrics.EntryMetrics;
@@ -20,6 +21,7 @@
 import io.anvilpick.entry.EntryDispatchers;
 import io.anvilpick.entry.EntryEvents;
 import io.anvilpick.entry.EntryRunner;
+import io.anvilpick.entry.RequestAuthorizer;
 import io.anvilpick.fleet.EntryAddressSelector;
 import io.anvilpick.fleet.FleetDecoder;
 import io.anvilpick.fleet.FleetState;
@@ -136,7 +138,16 @@
         EntryEvents events = new EntryEvents(metrics, time);
         Sender sender = new Sender(
                 targets, crashes, events, time, (nanos, action) -> loops.schedule(action, nanos, TimeUnit.NANOSECONDS));
-        return new EntryRunner(new EntryRunner.Parts(state::view, dispatchers, sender, targets, crashes, events, time));
+        return new EntryRunner(new EntryRunner.Parts(
+                state::view,
+                dispatchers,
+                sender,
+                targets,
+                crashes,
+                events,
+                time,
+                new RequestAuthorizer(headers.tenants(), freshness::isOld),
+                AllowanceLimiter.unlimited()));
     }
 
     private Server newServer(Builder builder, TargetHeaders headers, HeldBytes heldBodies) {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryErrorAnswers.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryErrorAnswers.java
@@ -44,7 +44,7 @@
     static HttpResponse of(ErrorKind kind, String message, Optional<Duration> retryAfter, boolean closeConnection) {
         HttpStatus status = statusOf(kind);
         ResponseHeadersBuilder headers = ResponseHeaders.builder(status).contentType(MediaType.PLAIN_TEXT_UTF_8);
-        if (status.equals(HttpStatus.SERVICE_UNAVAILABLE)) {
+        if (status.equals(HttpStatus.SERVICE_UNAVAILABLE) || status.equals(HttpStatus.TOO_MANY_REQUESTS)) {
             headers.set(
                     "retry-after", retryAfter.map(EntryErrorAnswers::secondsOf).orElse(RETRY_AFTER_SECONDS));
         }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryService.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryService.java
@@ -21,6 +21,7 @@
 import io.anvilpick.error.CallException;
 import io.anvilpick.error.ErrorKind;
 import io.anvilpick.limits.HeldBytes;
+import io.anvilpick.tenants.Credential;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
 import io.netty.channel.Channel;
@@ -189,7 +190,13 @@
                 forwardedHeaders(headers, authority),
                 body,
                 arrivedNanos,
-                new Deadline(arrivedNanos + timeoutOf(headers).toNanos()));
+                new Deadline(arrivedNanos + timeoutOf(headers).toNanos()),
+                credentialOf(headers));
+    }
+
+    private Optional<Credential> credentialOf(RequestHeaders headers) {
+        String key = headers.get(names.tenants().credential(), "");
+        return key.isEmpty() ? Optional.empty() : Optional.of(new Credential(key));
     }
 
     private Duration timeoutOf(RequestHeaders headers) throws CallException {
@@ -211,12 +218,13 @@
         return hasPort ? authority.substring(0, colon) : authority;
     }
 
-    private static ImmutableList<Header> forwardedHeaders(RequestHeaders headers, String authority) {
+    private ImmutableList<Header> forwardedHeaders(RequestHeaders headers, String authority) {
         ImmutableList.Builder<Header> forwardedHeaders = ImmutableList.builder();
         forwardedHeaders.add(new Header("host", authority));
         for (Map.Entry<AsciiString, String> entry : headers) {
             AsciiString name = entry.getKey();
-            if (name.charAt(0) != ':' && !CONNECTION_HEADERS.contains(name)) {
+            boolean isCredential = name.contentEqualsIgnoreCase(names.tenants().credential());
+            if (name.charAt(0) != ':' && !isCredential && !CONNECTION_HEADERS.contains(name)) {
                 forwardedHeaders.add(new Header(name.toString(), entry.getValue()));
             }
         }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/TargetHeaders.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/TargetHeaders.java
@@ -1,5 +1,7 @@
 package io.anvilpick.daemon.target.connections;
 
+import io.anvilpick.tenants.TenantHeaders;
+
 /**
  * The names of the headers that callers, daemons and targets exchange.
  *
@@ -10,6 +12,7 @@
  * @param load header in which a target reports calls running, calls waiting, slots, and its slowness in percent
  * @param notExecuted header by which a target states that it did not run the request
  * @param leaving header by which a target states in every answer that it is leaving
+ * @param tenants headers that concern tenants
  */
 public record TargetHeaders(
         String requestId,
@@ -18,4 +21,5 @@
         String expectedTarget,
         String load,
         String notExecuted,
-        String leaving) {}
+        String leaving,
+        TenantHeaders tenants) {}
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
@@ -18,6 +18,7 @@
 import io.anvilpick.routes.Route;
 import io.anvilpick.routes.RouteConfiguration;
 import io.anvilpick.routes.RouteTable;
+import io.anvilpick.tenants.TenantHeaders;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
@@ -29,8 +30,15 @@
 
 @Timeout(60)
 class EntryDaemonTest {
-    private static final TargetHeaders NAMES =
-            new TargetHeaders("x-id", "x-left", "x-seal", "x-target", "x-load", "x-not-run", "x-leaving");
+    private static final TargetHeaders NAMES = new TargetHeaders(
+            "x-id",
+            "x-left",
+            "x-seal",
+            "x-target",
+            "x-load",
+            "x-not-run",
+            "x-leaving",
+            new TenantHeaders("x-key", "x-tenant"));
     private static final StoredItem ITEM = new StoredItem("c", 1, Optional.of("configuration"));
     private static final int UNAVAILABLE = 503;
     private static final int NOT_FOUND = 404;
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryServiceTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryServiceTest.java
@@ -17,6 +17,7 @@
 import io.anvilpick.entry.SharedBudget;
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.limits.HeldBytes;
+import io.anvilpick.tenants.TenantHeaders;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
 import io.netty.channel.EventLoopGroup;
@@ -45,8 +46,15 @@
 /** Checks that the bodies of callers are bounded in memory, and that a stop refuses those that end too late. */
 @Timeout(60)
 class EntryServiceTest {
-    private static final TargetHeaders NAMES =
-            new TargetHeaders("x-id", "x-left", "x-seal", "x-target", "x-load", "x-not-run", "x-leaving");
+    private static final TargetHeaders NAMES = new TargetHeaders(
+            "x-id",
+            "x-left",
+            "x-seal",
+            "x-target",
+            "x-load",
+            "x-not-run",
+            "x-leaving",
+            new TenantHeaders("x-key", "x-tenant"));
     private static final long MAX_HELD_BYTES = 100_000;
 
     /** A chunk of 16 KiB. */
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/StopUnderLoadTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/StopUnderLoadTest.java
@@ -21,6 +21,7 @@
 import io.anvilpick.routes.Route;
 import io.anvilpick.routes.RouteConfiguration;
 import io.anvilpick.routes.RouteTable;
+import io.anvilpick.tenants.TenantHeaders;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
 import java.net.InetSocketAddress;
@@ -36,8 +37,15 @@
 /** Guards against a planned stop that closes the connection of a request which waits for a slot, without an answer. */
 @Timeout(60)
 class StopUnderLoadTest {
-    private static final TargetHeaders NAMES =
-            new TargetHeaders("x-id", "x-left", "x-seal", "x-target", "x-load", "x-not-run", "x-leaving");
+    private static final TargetHeaders NAMES = new TargetHeaders(
+            "x-id",
+            "x-left",
+            "x-seal",
+            "x-target",
+            "x-load",
+            "x-not-run",
+            "x-leaving",
+            new TenantHeaders("x-key", "x-tenant"));
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int CUT = 0;
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/target/connections/TargetClientFixture.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/target/connections/TargetClientFixture.java
@@ -3,6 +3,7 @@
 import io.anvilpick.config.TargetConfig;
 import io.anvilpick.daemon.ScriptedServer;
 import io.anvilpick.limits.HeldBytes;
+import io.anvilpick.tenants.TenantHeaders;
 import io.anvilpick.time.TimeSource;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -15,8 +16,15 @@
 
 /** A client and a scripted target for each test. */
 abstract class TargetClientFixture {
-    static final TargetHeaders NAMES =
-            new TargetHeaders("x-id", "x-left", "x-seal", "x-target", "x-load", "x-not-run", "x-leaving");
+    static final TargetHeaders NAMES = new TargetHeaders(
+            "x-id",
+            "x-left",
+            "x-seal",
+            "x-target",
+            "x-load",
+            "x-not-run",
+            "x-leaving",
+            new TenantHeaders("x-key", "x-tenant"));
     static final TimeSource TIME = TimeSource.system();
     static final long MAX_HELD_BYTES = 1024 * 1024;
 
--- a/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
@@ -11,6 +11,7 @@
 import io.anvilpick.membership.Member;
 import io.anvilpick.membership.MemberDigest;
 import io.anvilpick.membership.MemberHeartbeat;
+import io.anvilpick.messages.AllowanceRequest;
 import io.anvilpick.messages.ClaimReleaseRequest;
 import io.anvilpick.messages.ClaimSettleRequest;
 import io.anvilpick.messages.ClaimVoteRequest;
@@ -24,6 +25,7 @@
 import io.anvilpick.messages.SealRequest;
 import io.anvilpick.messages.StoreUpdateRequest;
 import io.anvilpick.peer.wire.PeerProto;
+import java.time.Duration;
 import java.util.Optional;
 
 /** Converts requests and replies to and from protobuf messages. */
@@ -83,6 +85,11 @@
             case StoreUpdateRequest follow ->
                 envelope.setFollow(PeerProto.Follow.newBuilder().setAfter(follow.after()))
                         .build();
+            case AllowanceRequest allowance ->
+                envelope.setAllowance(PeerProto.Allowance.newBuilder()
+                                .setTenant(allowance.tenant())
+                                .setWanted(allowance.wanted()))
+                        .build();
             case CrashClearedRequest acquit ->
                 envelope.setAcquit(PeerProto.Acquit.newBuilder().setFingerprint(acquit.fingerprint()))
                         .build();
@@ -114,6 +121,11 @@
             case PeerReply.StoreUpdate followed ->
                 envelope.setFollowed(StoreUpdateCodec.encode(followed.relayed()))
                         .build();
+            case PeerReply.AllowanceGrant grant ->
+                envelope.setAllowanceGrant(PeerProto.AllowanceGrant.newBuilder()
+                                .setGranted(grant.granted())
+                                .setRetryAfterMillis(grant.retryAfter().toMillis()))
+                        .build();
             case PeerReply.Rejected rejected ->
                 envelope.setRejected(PeerProto.Rejected.newBuilder().setReason(rejected.reason()))
                         .build();
@@ -166,8 +178,20 @@
                                 envelope.getCrash().getAtMillis()));
                     case ACQUIT -> new CrashClearedRequest(envelope.getAcquit().getFingerprint());
                     case FOLLOW -> new StoreUpdateRequest(envelope.getFollow().getAfter());
-                    case DONE, VOTED, SEALED, INSTALLED, GOSSIP_REPLY, PARTS_REPLY, REJECTED, FOLLOWED, BODY_NOT_SET ->
-                        null;
+                    case ALLOWANCE ->
+                        new AllowanceRequest(
+                                envelope.getAllowance().getTenant(),
+                                envelope.getAllowance().getWanted());
+                    case DONE,
+                            VOTED,
+                            SEALED,
+                            INSTALLED,
+                            GOSSIP_REPLY,
+                            PARTS_REPLY,
+                            REJECTED,
+                            FOLLOWED,
+                            ALLOWANCE_GRANT,
+                            BODY_NOT_SET -> null;
                 };
         return Optional.ofNullable(request);
     }
@@ -189,6 +213,10 @@
                     case GOSSIP_REPLY -> decode(envelope.getGossipReply());
                     case PARTS_REPLY -> decode(envelope.getPartsReply());
                     case FOLLOWED -> new PeerReply.StoreUpdate(StoreUpdateCodec.decode(envelope.getFollowed()));
+                    case ALLOWANCE_GRANT ->
+                        new PeerReply.AllowanceGrant(
+                                envelope.getAllowanceGrant().getGranted(),
+                                Duration.ofMillis(envelope.getAllowanceGrant().getRetryAfterMillis()));
                     case REJECTED ->
                         new PeerReply.Rejected(envelope.getRejected().getReason());
                     case CLAIM_VOTE,
@@ -201,6 +229,7 @@
                             CRASH,
                             ACQUIT,
                             FOLLOW,
+                            ALLOWANCE,
                             BODY_NOT_SET -> null;
                 };
         return Optional.ofNullable(reply);
--- a/anvilpick-peer/src/main/java/io/anvilpick/peer/wire/PeerProto.java
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/wire/PeerProto.java
@@ -190,6 +190,21 @@
      */
     io.anvilpick.peer.wire.PeerProto.FollowOrBuilder getFollowOrBuilder();
 
+    /**
+     * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+     * @return Whether the allowance field is set.
+     */
+    boolean hasAllowance();
+    /**
+     * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+     * @return The allowance.
+     */
+    io.anvilpick.peer.wire.PeerProto.Allowance getAllowance();
+    /**
+     * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.AllowanceOrBuilder getAllowanceOrBuilder();
+
     /**
      * <code>.anvilpick.peer.Done done = 20;</code>
      * @return Whether the done field is set.
@@ -310,6 +325,21 @@
      */
     io.anvilpick.peer.wire.PeerProto.FollowedOrBuilder getFollowedOrBuilder();
 
+    /**
+     * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+     * @return Whether the allowanceGrant field is set.
+     */
+    boolean hasAllowanceGrant();
+    /**
+     * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+     * @return The allowanceGrant.
+     */
+    io.anvilpick.peer.wire.PeerProto.AllowanceGrant getAllowanceGrant();
+    /**
+     * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.AllowanceGrantOrBuilder getAllowanceGrantOrBuilder();
+
     io.anvilpick.peer.wire.PeerProto.Envelope.BodyCase getBodyCase();
   }
   /**
@@ -365,6 +395,7 @@
       CRASH(9),
       ACQUIT(10),
       FOLLOW(11),
+      ALLOWANCE(12),
       DONE(20),
       VOTED(21),
       SEALED(22),
@@ -373,6 +404,7 @@
       PARTS_REPLY(25),
       REJECTED(26),
       FOLLOWED(27),
+      ALLOWANCE_GRANT(28),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -400,6 +432,7 @@
           case 9: return CRASH;
           case 10: return ACQUIT;
           case 11: return FOLLOW;
+          case 12: return ALLOWANCE;
           case 20: return DONE;
           case 21: return VOTED;
           case 22: return SEALED;
@@ -408,6 +441,7 @@
           case 25: return PARTS_REPLY;
           case 26: return REJECTED;
           case 27: return FOLLOWED;
+          case 28: return ALLOWANCE_GRANT;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -748,6 +782,37 @@
       return io.anvilpick.peer.wire.PeerProto.Follow.getDefaultInstance();
     }
 
+    public static final int ALLOWANCE_FIELD_NUMBER = 12;
+    /**
+     * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+     * @return Whether the allowance field is set.
+     */
+    @java.lang.Override
+    public boolean hasAllowance() {
+      return bodyCase_ == 12;
+    }
+    /**
+     * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+     * @return The allowance.
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.Allowance getAllowance() {
+      if (bodyCase_ == 12) {
+         return (io.anvilpick.peer.wire.PeerProto.Allowance) body_;
+      }
+      return io.anvilpick.peer.wire.PeerProto.Allowance.getDefaultInstance();
+    }
+    /**
+     * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.AllowanceOrBuilder getAllowanceOrBuilder() {
+      if (bodyCase_ == 12) {
+         return (io.anvilpick.peer.wire.PeerProto.Allowance) body_;
+      }
+      return io.anvilpick.peer.wire.PeerProto.Allowance.getDefaultInstance();
+    }
+
     public static final int DONE_FIELD_NUMBER = 20;
     /**
      * <code>.anvilpick.peer.Done done = 20;</code>
@@ -996,6 +1061,37 @@
       return io.anvilpick.peer.wire.PeerProto.Followed.getDefaultInstance();
     }
 
+    public static final int ALLOWANCE_GRANT_FIELD_NUMBER = 28;
+    /**
+     * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+     * @return Whether the allowanceGrant field is set.
+     */
+    @java.lang.Override
+    public boolean hasAllowanceGrant() {
+      return bodyCase_ == 28;
+    }
+    /**
+     * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+     * @return The allowanceGrant.
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.AllowanceGrant getAllowanceGrant() {
+      if (bodyCase_ == 28) {
+         return (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) body_;
+      }
+      return io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance();
+    }
+    /**
+     * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.AllowanceGrantOrBuilder getAllowanceGrantOrBuilder() {
+      if (bodyCase_ == 28) {
+         return (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) body_;
+      }
+      return io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1043,6 +1139,9 @@
       if (bodyCase_ == 11) {
         output.writeMessage(11, (io.anvilpick.peer.wire.PeerProto.Follow) body_);
       }
+      if (bodyCase_ == 12) {
+        output.writeMessage(12, (io.anvilpick.peer.wire.PeerProto.Allowance) body_);
+      }
       if (bodyCase_ == 20) {
         output.writeMessage(20, (io.anvilpick.peer.wire.PeerProto.Done) body_);
       }
@@ -1067,6 +1166,9 @@
       if (bodyCase_ == 27) {
         output.writeMessage(27, (io.anvilpick.peer.wire.PeerProto.Followed) body_);
       }
+      if (bodyCase_ == 28) {
+        output.writeMessage(28, (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -1120,6 +1222,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(11, (io.anvilpick.peer.wire.PeerProto.Follow) body_);
       }
+      if (bodyCase_ == 12) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(12, (io.anvilpick.peer.wire.PeerProto.Allowance) body_);
+      }
       if (bodyCase_ == 20) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(20, (io.anvilpick.peer.wire.PeerProto.Done) body_);
@@ -1152,6 +1258,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(27, (io.anvilpick.peer.wire.PeerProto.Followed) body_);
       }
+      if (bodyCase_ == 28) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(28, (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -1211,6 +1321,10 @@
           if (!getFollow()
               .equals(other.getFollow())) return false;
           break;
+        case 12:
+          if (!getAllowance()
+              .equals(other.getAllowance())) return false;
+          break;
         case 20:
           if (!getDone()
               .equals(other.getDone())) return false;
@@ -1243,6 +1357,10 @@
           if (!getFollowed()
               .equals(other.getFollowed())) return false;
           break;
+        case 28:
+          if (!getAllowanceGrant()
+              .equals(other.getAllowanceGrant())) return false;
+          break;
         case 0:
         default:
       }
@@ -1301,6 +1419,10 @@
           hash = (37 * hash) + FOLLOW_FIELD_NUMBER;
           hash = (53 * hash) + getFollow().hashCode();
           break;
+        case 12:
+          hash = (37 * hash) + ALLOWANCE_FIELD_NUMBER;
+          hash = (53 * hash) + getAllowance().hashCode();
+          break;
         case 20:
           hash = (37 * hash) + DONE_FIELD_NUMBER;
           hash = (53 * hash) + getDone().hashCode();
@@ -1333,6 +1455,10 @@
           hash = (37 * hash) + FOLLOWED_FIELD_NUMBER;
           hash = (53 * hash) + getFollowed().hashCode();
           break;
+        case 28:
+          hash = (37 * hash) + ALLOWANCE_GRANT_FIELD_NUMBER;
+          hash = (53 * hash) + getAllowanceGrant().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1498,6 +1624,9 @@
         if (followBuilder_ != null) {
           followBuilder_.clear();
         }
+        if (allowanceBuilder_ != null) {
+          allowanceBuilder_.clear();
+        }
         if (doneBuilder_ != null) {
           doneBuilder_.clear();
         }
@@ -1522,6 +1651,9 @@
         if (followedBuilder_ != null) {
           followedBuilder_.clear();
         }
+        if (allowanceGrantBuilder_ != null) {
+          allowanceGrantBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -1606,6 +1738,10 @@
             followBuilder_ != null) {
           result.body_ = followBuilder_.build();
         }
+        if (bodyCase_ == 12 &&
+            allowanceBuilder_ != null) {
+          result.body_ = allowanceBuilder_.build();
+        }
         if (bodyCase_ == 20 &&
             doneBuilder_ != null) {
           result.body_ = doneBuilder_.build();
@@ -1638,6 +1774,10 @@
             followedBuilder_ != null) {
           result.body_ = followedBuilder_.build();
         }
+        if (bodyCase_ == 28 &&
+            allowanceGrantBuilder_ != null) {
+          result.body_ = allowanceGrantBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1696,6 +1836,10 @@
             mergeFollow(other.getFollow());
             break;
           }
+          case ALLOWANCE: {
+            mergeAllowance(other.getAllowance());
+            break;
+          }
           case DONE: {
             mergeDone(other.getDone());
             break;
@@ -1728,6 +1872,10 @@
             mergeFollowed(other.getFollowed());
             break;
           }
+          case ALLOWANCE_GRANT: {
+            mergeAllowanceGrant(other.getAllowanceGrant());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -1833,6 +1981,13 @@
                 bodyCase_ = 11;
                 break;
               } // case 90
+              case 98: {
+                input.readMessage(
+                    internalGetAllowanceFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 12;
+                break;
+              } // case 98
               case 162: {
                 input.readMessage(
                     internalGetDoneFieldBuilder().getBuilder(),
@@ -1889,6 +2044,13 @@
                 bodyCase_ = 27;
                 break;
               } // case 218
+              case 226: {
+                input.readMessage(
+                    internalGetAllowanceGrantFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 28;
+                break;
+              } // case 226
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3385,6 +3547,148 @@
         return followBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.Allowance, io.anvilpick.peer.wire.PeerProto.Allowance.Builder, io.anvilpick.peer.wire.PeerProto.AllowanceOrBuilder> allowanceBuilder_;
+      /**
+       * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+       * @return Whether the allowance field is set.
+       */
+      @java.lang.Override
+      public boolean hasAllowance() {
+        return bodyCase_ == 12;
+      }
+      /**
+       * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+       * @return The allowance.
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Allowance getAllowance() {
+        if (allowanceBuilder_ == null) {
+          if (bodyCase_ == 12) {
+            return (io.anvilpick.peer.wire.PeerProto.Allowance) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.Allowance.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 12) {
+            return allowanceBuilder_.getMessage();
+          }
+          return io.anvilpick.peer.wire.PeerProto.Allowance.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+       */
+      public Builder setAllowance(io.anvilpick.peer.wire.PeerProto.Allowance value) {
+        if (allowanceBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          allowanceBuilder_.setMessage(value);
+        }
+        bodyCase_ = 12;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+       */
+      public Builder setAllowance(
+          io.anvilpick.peer.wire.PeerProto.Allowance.Builder builderForValue) {
+        if (allowanceBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          allowanceBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 12;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+       */
+      public Builder mergeAllowance(io.anvilpick.peer.wire.PeerProto.Allowance value) {
+        if (allowanceBuilder_ == null) {
+          if (bodyCase_ == 12 &&
+              body_ != io.anvilpick.peer.wire.PeerProto.Allowance.getDefaultInstance()) {
+            body_ = io.anvilpick.peer.wire.PeerProto.Allowance.newBuilder((io.anvilpick.peer.wire.PeerProto.Allowance) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 12) {
+            allowanceBuilder_.mergeFrom(value);
+          } else {
+            allowanceBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 12;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+       */
+      public Builder clearAllowance() {
+        if (allowanceBuilder_ == null) {
+          if (bodyCase_ == 12) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 12) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          allowanceBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.Allowance.Builder getAllowanceBuilder() {
+        return internalGetAllowanceFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.AllowanceOrBuilder getAllowanceOrBuilder() {
+        if ((bodyCase_ == 12) && (allowanceBuilder_ != null)) {
+          return allowanceBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 12) {
+            return (io.anvilpick.peer.wire.PeerProto.Allowance) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.Allowance.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.Allowance allowance = 12;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.Allowance, io.anvilpick.peer.wire.PeerProto.Allowance.Builder, io.anvilpick.peer.wire.PeerProto.AllowanceOrBuilder> 
+          internalGetAllowanceFieldBuilder() {
+        if (allowanceBuilder_ == null) {
+          if (!(bodyCase_ == 12)) {
+            body_ = io.anvilpick.peer.wire.PeerProto.Allowance.getDefaultInstance();
+          }
+          allowanceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.Allowance, io.anvilpick.peer.wire.PeerProto.Allowance.Builder, io.anvilpick.peer.wire.PeerProto.AllowanceOrBuilder>(
+                  (io.anvilpick.peer.wire.PeerProto.Allowance) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 12;
+        onChanged();
+        return allowanceBuilder_;
+      }
+
       private com.google.protobuf.SingleFieldBuilder<
           io.anvilpick.peer.wire.PeerProto.Done, io.anvilpick.peer.wire.PeerProto.Done.Builder, io.anvilpick.peer.wire.PeerProto.DoneOrBuilder> doneBuilder_;
       /**
@@ -4521,6 +4825,148 @@
         return followedBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.AllowanceGrant, io.anvilpick.peer.wire.PeerProto.AllowanceGrant.Builder, io.anvilpick.peer.wire.PeerProto.AllowanceGrantOrBuilder> allowanceGrantBuilder_;
+      /**
+       * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+       * @return Whether the allowanceGrant field is set.
+       */
+      @java.lang.Override
+      public boolean hasAllowanceGrant() {
+        return bodyCase_ == 28;
+      }
+      /**
+       * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+       * @return The allowanceGrant.
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.AllowanceGrant getAllowanceGrant() {
+        if (allowanceGrantBuilder_ == null) {
+          if (bodyCase_ == 28) {
+            return (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 28) {
+            return allowanceGrantBuilder_.getMessage();
+          }
+          return io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+       */
+      public Builder setAllowanceGrant(io.anvilpick.peer.wire.PeerProto.AllowanceGrant value) {
+        if (allowanceGrantBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          allowanceGrantBuilder_.setMessage(value);
+        }
+        bodyCase_ = 28;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+       */
+      public Builder setAllowanceGrant(
+          io.anvilpick.peer.wire.PeerProto.AllowanceGrant.Builder builderForValue) {
+        if (allowanceGrantBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          allowanceGrantBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 28;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+       */
+      public Builder mergeAllowanceGrant(io.anvilpick.peer.wire.PeerProto.AllowanceGrant value) {
+        if (allowanceGrantBuilder_ == null) {
+          if (bodyCase_ == 28 &&
+              body_ != io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance()) {
+            body_ = io.anvilpick.peer.wire.PeerProto.AllowanceGrant.newBuilder((io.anvilpick.peer.wire.PeerProto.AllowanceGrant) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 28) {
+            allowanceGrantBuilder_.mergeFrom(value);
+          } else {
+            allowanceGrantBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 28;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+       */
+      public Builder clearAllowanceGrant() {
+        if (allowanceGrantBuilder_ == null) {
+          if (bodyCase_ == 28) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 28) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          allowanceGrantBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.AllowanceGrant.Builder getAllowanceGrantBuilder() {
+        return internalGetAllowanceGrantFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.AllowanceGrantOrBuilder getAllowanceGrantOrBuilder() {
+        if ((bodyCase_ == 28) && (allowanceGrantBuilder_ != null)) {
+          return allowanceGrantBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 28) {
+            return (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.AllowanceGrant allowance_grant = 28;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.AllowanceGrant, io.anvilpick.peer.wire.PeerProto.AllowanceGrant.Builder, io.anvilpick.peer.wire.PeerProto.AllowanceGrantOrBuilder> 
+          internalGetAllowanceGrantFieldBuilder() {
+        if (allowanceGrantBuilder_ == null) {
+          if (!(bodyCase_ == 28)) {
+            body_ = io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance();
+          }
+          allowanceGrantBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.AllowanceGrant, io.anvilpick.peer.wire.PeerProto.AllowanceGrant.Builder, io.anvilpick.peer.wire.PeerProto.AllowanceGrantOrBuilder>(
+                  (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 28;
+        onChanged();
+        return allowanceGrantBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:anvilpick.peer.Envelope)
     }
 
@@ -4581,6 +5027,16 @@
      * @return The after.
      */
     long getAfter();
+
+    /**
+     * <pre>
+     * Era of the store to which the revision belongs.
+     * </pre>
+     *
+     * <code>int64 era = 2;</code>
+     * @return The era.
+     */
+    long getEra();
   }
   /**
    * <pre>
@@ -4635,6 +5091,21 @@
       return after_;
     }
 
+    public static final int ERA_FIELD_NUMBER = 2;
+    private long era_ = 0L;
+    /**
+     * <pre>
+     * Era of the store to which the revision belongs.
+     * </pre>
+     *
+     * <code>int64 era = 2;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -4652,6 +5123,9 @@
       if (after_ != 0L) {
         output.writeInt64(1, after_);
       }
+      if (era_ != 0L) {
+        output.writeInt64(2, era_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -4665,6 +5139,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeInt64Size(1, after_);
       }
+      if (era_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, era_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -4682,6 +5160,8 @@
 
       if (getAfter()
           != other.getAfter()) return false;
+      if (getEra()
+          != other.getEra()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -4696,6 +5176,9 @@
       hash = (37 * hash) + AFTER_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getAfter());
+      hash = (37 * hash) + ERA_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEra());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -4833,6 +5316,7 @@
         super.clear();
         bitField0_ = 0;
         after_ = 0L;
+        era_ = 0L;
         return this;
       }
 
@@ -4869,6 +5353,9 @@
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.after_ = after_;
         }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.era_ = era_;
+        }
       }
 
       @java.lang.Override
@@ -4886,6 +5373,9 @@
         if (other.getAfter() != 0L) {
           setAfter(other.getAfter());
         }
+        if (other.getEra() != 0L) {
+          setEra(other.getEra());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -4917,6 +5407,11 @@
                 bitField0_ |= 0x00000001;
                 break;
               } // case 8
+              case 16: {
+                era_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4966,11 +5461,55 @@
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:anvilpick.peer.Follow)
-    }
-
-    // @@protoc_insertion_point(class_scope:anvilpick.peer.Follow)
-    private static final io.anvilpick.peer.wire.PeerProto.Follow DEFAULT_INSTANCE;
+      private long era_ ;
+      /**
+       * <pre>
+       * Era of the store to which the revision belongs.
+       * </pre>
+       *
+       * <code>int64 era = 2;</code>
+       * @return The era.
+       */
+      @java.lang.Override
+      public long getEra() {
+        return era_;
+      }
+      /**
+       * <pre>
+       * Era of the store to which the revision belongs.
+       * </pre>
+       *
+       * <code>int64 era = 2;</code>
+       * @param value The era to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEra(long value) {
+
+        era_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Era of the store to which the revision belongs.
+       * </pre>
+       *
+       * <code>int64 era = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEra() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        era_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.Follow)
+    }
+
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.Follow)
+    private static final io.anvilpick.peer.wire.PeerProto.Follow DEFAULT_INSTANCE;
     static {
       DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.Follow();
     }
@@ -5878,6 +6417,16 @@
      */
     io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder getItemsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Era of the store to which the revisions belong.
+     * </pre>
+     *
+     * <code>int64 era = 5;</code>
+     * @return The era.
+     */
+    long getEra();
   }
   /**
    * Protobuf type {@code anvilpick.peer.Followed}
@@ -5999,6 +6548,21 @@
       return items_.get(index);
     }
 
+    public static final int ERA_FIELD_NUMBER = 5;
+    private long era_ = 0L;
+    /**
+     * <pre>
+     * Era of the store to which the revisions belong.
+     * </pre>
+     *
+     * <code>int64 era = 5;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -6025,6 +6589,9 @@
       for (int i = 0; i < items_.size(); i++) {
         output.writeMessage(4, items_.get(i));
       }
+      if (era_ != 0L) {
+        output.writeInt64(5, era_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -6050,6 +6617,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(4, items_.get(i));
       }
+      if (era_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(5, era_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -6073,6 +6644,8 @@
           != other.getAgeMillis()) return false;
       if (!getItemsList()
           .equals(other.getItemsList())) return false;
+      if (getEra()
+          != other.getEra()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6097,6 +6670,9 @@
         hash = (37 * hash) + ITEMS_FIELD_NUMBER;
         hash = (53 * hash) + getItemsList().hashCode();
       }
+      hash = (37 * hash) + ERA_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEra());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -6238,6 +6814,7 @@
           itemsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000008);
+        era_ = 0L;
         return this;
       }
 
@@ -6293,6 +6870,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.ageMillis_ = ageMillis_;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.era_ = era_;
+        }
       }
 
       @java.lang.Override
@@ -6342,6 +6922,9 @@
             }
           }
         }
+        if (other.getEra() != 0L) {
+          setEra(other.getEra());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -6396,6 +6979,11 @@
                 }
                 break;
               } // case 34
+              case 40: {
+                era_ = input.readInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -6653,143 +7241,1312 @@
         }
         return this;
       }
-      /**
-       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
-       */
-      public Builder addItems(
-          int index, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder builderForValue) {
-        if (itemsBuilder_ == null) {
-          ensureItemsIsMutable();
-          items_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          itemsBuilder_.addMessage(index, builderForValue.build());
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public Builder addItems(
+          int index, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          itemsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public Builder addAllItems(
+          java.lang.Iterable<? extends io.anvilpick.peer.wire.PeerProto.StoredItem> values) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, items_);
+          onChanged();
+        } else {
+          itemsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public Builder clearItems() {
+        if (itemsBuilder_ == null) {
+          items_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          itemsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public Builder removeItems(int index) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.remove(index);
+          onChanged();
+        } else {
+          itemsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.StoredItem.Builder getItemsBuilder(
+          int index) {
+        return internalGetItemsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder getItemsOrBuilder(
+          int index) {
+        if (itemsBuilder_ == null) {
+          return items_.get(index);  } else {
+          return itemsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder> 
+           getItemsOrBuilderList() {
+        if (itemsBuilder_ != null) {
+          return itemsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(items_);
+        }
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.StoredItem.Builder addItemsBuilder() {
+        return internalGetItemsFieldBuilder().addBuilder(
+            io.anvilpick.peer.wire.PeerProto.StoredItem.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.StoredItem.Builder addItemsBuilder(
+          int index) {
+        return internalGetItemsFieldBuilder().addBuilder(
+            index, io.anvilpick.peer.wire.PeerProto.StoredItem.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       */
+      public java.util.List<io.anvilpick.peer.wire.PeerProto.StoredItem.Builder> 
+           getItemsBuilderList() {
+        return internalGetItemsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.StoredItem, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder, io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder> 
+          internalGetItemsFieldBuilder() {
+        if (itemsBuilder_ == null) {
+          itemsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.StoredItem, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder, io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder>(
+                  items_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          items_ = null;
+        }
+        return itemsBuilder_;
+      }
+
+      private long era_ ;
+      /**
+       * <pre>
+       * Era of the store to which the revisions belong.
+       * </pre>
+       *
+       * <code>int64 era = 5;</code>
+       * @return The era.
+       */
+      @java.lang.Override
+      public long getEra() {
+        return era_;
+      }
+      /**
+       * <pre>
+       * Era of the store to which the revisions belong.
+       * </pre>
+       *
+       * <code>int64 era = 5;</code>
+       * @param value The era to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEra(long value) {
+
+        era_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Era of the store to which the revisions belong.
+       * </pre>
+       *
+       * <code>int64 era = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEra() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        era_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.Followed)
+    }
+
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.Followed)
+    private static final io.anvilpick.peer.wire.PeerProto.Followed DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.Followed();
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Followed getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Followed>
+        PARSER = new com.google.protobuf.AbstractParser<Followed>() {
+      @java.lang.Override
+      public Followed parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Followed> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Followed> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.Followed getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface AllowanceOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:anvilpick.peer.Allowance)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string tenant = 1;</code>
+     * @return The tenant.
+     */
+    java.lang.String getTenant();
+    /**
+     * <code>string tenant = 1;</code>
+     * @return The bytes for tenant.
+     */
+    com.google.protobuf.ByteString
+        getTenantBytes();
+
+    /**
+     * <code>int32 wanted = 2;</code>
+     * @return The wanted.
+     */
+    int getWanted();
+  }
+  /**
+   * <pre>
+   * Requests tokens of a tenant's allowance from one of its grantors.
+   * </pre>
+   *
+   * Protobuf type {@code anvilpick.peer.Allowance}
+   */
+  public static final class Allowance extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:anvilpick.peer.Allowance)
+      AllowanceOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "Allowance");
+    }
+    // Use Allowance.newBuilder() to construct.
+    private Allowance(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Allowance() {
+      tenant_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Allowance_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Allowance_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.anvilpick.peer.wire.PeerProto.Allowance.class, io.anvilpick.peer.wire.PeerProto.Allowance.Builder.class);
+    }
+
+    public static final int TENANT_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object tenant_ = "";
+    /**
+     * <code>string tenant = 1;</code>
+     * @return The tenant.
+     */
+    @java.lang.Override
+    public java.lang.String getTenant() {
+      java.lang.Object ref = tenant_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        tenant_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string tenant = 1;</code>
+     * @return The bytes for tenant.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getTenantBytes() {
+      java.lang.Object ref = tenant_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        tenant_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int WANTED_FIELD_NUMBER = 2;
+    private int wanted_ = 0;
+    /**
+     * <code>int32 wanted = 2;</code>
+     * @return The wanted.
+     */
+    @java.lang.Override
+    public int getWanted() {
+      return wanted_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(tenant_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, tenant_);
+      }
+      if (wanted_ != 0) {
+        output.writeInt32(2, wanted_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(tenant_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, tenant_);
+      }
+      if (wanted_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(2, wanted_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.Allowance)) {
+        return super.equals(obj);
+      }
+      io.anvilpick.peer.wire.PeerProto.Allowance other = (io.anvilpick.peer.wire.PeerProto.Allowance) obj;
+
+      if (!getTenant()
+          .equals(other.getTenant())) return false;
+      if (getWanted()
+          != other.getWanted()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + TENANT_FIELD_NUMBER;
+      hash = (53 * hash) + getTenant().hashCode();
+      hash = (37 * hash) + WANTED_FIELD_NUMBER;
+      hash = (53 * hash) + getWanted();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.Allowance parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.Allowance prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Requests tokens of a tenant's allowance from one of its grantors.
+     * </pre>
+     *
+     * Protobuf type {@code anvilpick.peer.Allowance}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:anvilpick.peer.Allowance)
+        io.anvilpick.peer.wire.PeerProto.AllowanceOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Allowance_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Allowance_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.anvilpick.peer.wire.PeerProto.Allowance.class, io.anvilpick.peer.wire.PeerProto.Allowance.Builder.class);
+      }
+
+      // Construct using io.anvilpick.peer.wire.PeerProto.Allowance.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        tenant_ = "";
+        wanted_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_Allowance_descriptor;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Allowance getDefaultInstanceForType() {
+        return io.anvilpick.peer.wire.PeerProto.Allowance.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Allowance build() {
+        io.anvilpick.peer.wire.PeerProto.Allowance result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.Allowance buildPartial() {
+        io.anvilpick.peer.wire.PeerProto.Allowance result = new io.anvilpick.peer.wire.PeerProto.Allowance(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.Allowance result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.tenant_ = tenant_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.wanted_ = wanted_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.anvilpick.peer.wire.PeerProto.Allowance) {
+          return mergeFrom((io.anvilpick.peer.wire.PeerProto.Allowance)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.Allowance other) {
+        if (other == io.anvilpick.peer.wire.PeerProto.Allowance.getDefaultInstance()) return this;
+        if (!other.getTenant().isEmpty()) {
+          tenant_ = other.tenant_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getWanted() != 0) {
+          setWanted(other.getWanted());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                tenant_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                wanted_ = input.readInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object tenant_ = "";
+      /**
+       * <code>string tenant = 1;</code>
+       * @return The tenant.
+       */
+      public java.lang.String getTenant() {
+        java.lang.Object ref = tenant_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          tenant_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string tenant = 1;</code>
+       * @return The bytes for tenant.
+       */
+      public com.google.protobuf.ByteString
+          getTenantBytes() {
+        java.lang.Object ref = tenant_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          tenant_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string tenant = 1;</code>
+       * @param value The tenant to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTenant(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        tenant_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string tenant = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTenant() {
+        tenant_ = getDefaultInstance().getTenant();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string tenant = 1;</code>
+       * @param value The bytes for tenant to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTenantBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        tenant_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int wanted_ ;
+      /**
+       * <code>int32 wanted = 2;</code>
+       * @return The wanted.
+       */
+      @java.lang.Override
+      public int getWanted() {
+        return wanted_;
+      }
+      /**
+       * <code>int32 wanted = 2;</code>
+       * @param value The wanted to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWanted(int value) {
+
+        wanted_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 wanted = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWanted() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        wanted_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.Allowance)
+    }
+
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.Allowance)
+    private static final io.anvilpick.peer.wire.PeerProto.Allowance DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.Allowance();
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Allowance getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Allowance>
+        PARSER = new com.google.protobuf.AbstractParser<Allowance>() {
+      @java.lang.Override
+      public Allowance parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Allowance> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Allowance> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.Allowance getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface AllowanceGrantOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:anvilpick.peer.AllowanceGrant)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>int32 granted = 1;</code>
+     * @return The granted.
+     */
+    int getGranted();
+
+    /**
+     * <pre>
+     * Time after which the grantor expects to have a token again, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 retry_after_millis = 2;</code>
+     * @return The retryAfterMillis.
+     */
+    long getRetryAfterMillis();
+  }
+  /**
+   * <pre>
+   * Tokens granted, which may be none.
+   * </pre>
+   *
+   * Protobuf type {@code anvilpick.peer.AllowanceGrant}
+   */
+  public static final class AllowanceGrant extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:anvilpick.peer.AllowanceGrant)
+      AllowanceGrantOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "AllowanceGrant");
+    }
+    // Use AllowanceGrant.newBuilder() to construct.
+    private AllowanceGrant(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private AllowanceGrant() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.anvilpick.peer.wire.PeerProto.AllowanceGrant.class, io.anvilpick.peer.wire.PeerProto.AllowanceGrant.Builder.class);
+    }
+
+    public static final int GRANTED_FIELD_NUMBER = 1;
+    private int granted_ = 0;
+    /**
+     * <code>int32 granted = 1;</code>
+     * @return The granted.
+     */
+    @java.lang.Override
+    public int getGranted() {
+      return granted_;
+    }
+
+    public static final int RETRY_AFTER_MILLIS_FIELD_NUMBER = 2;
+    private long retryAfterMillis_ = 0L;
+    /**
+     * <pre>
+     * Time after which the grantor expects to have a token again, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 retry_after_millis = 2;</code>
+     * @return The retryAfterMillis.
+     */
+    @java.lang.Override
+    public long getRetryAfterMillis() {
+      return retryAfterMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (granted_ != 0) {
+        output.writeInt32(1, granted_);
+      }
+      if (retryAfterMillis_ != 0L) {
+        output.writeInt64(2, retryAfterMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (granted_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(1, granted_);
+      }
+      if (retryAfterMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, retryAfterMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.AllowanceGrant)) {
+        return super.equals(obj);
+      }
+      io.anvilpick.peer.wire.PeerProto.AllowanceGrant other = (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) obj;
+
+      if (getGranted()
+          != other.getGranted()) return false;
+      if (getRetryAfterMillis()
+          != other.getRetryAfterMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + GRANTED_FIELD_NUMBER;
+      hash = (53 * hash) + getGranted();
+      hash = (37 * hash) + RETRY_AFTER_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRetryAfterMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.AllowanceGrant prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Tokens granted, which may be none.
+     * </pre>
+     *
+     * Protobuf type {@code anvilpick.peer.AllowanceGrant}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:anvilpick.peer.AllowanceGrant)
+        io.anvilpick.peer.wire.PeerProto.AllowanceGrantOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.anvilpick.peer.wire.PeerProto.AllowanceGrant.class, io.anvilpick.peer.wire.PeerProto.AllowanceGrant.Builder.class);
+      }
+
+      // Construct using io.anvilpick.peer.wire.PeerProto.AllowanceGrant.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        granted_ = 0;
+        retryAfterMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_descriptor;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.AllowanceGrant getDefaultInstanceForType() {
+        return io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.AllowanceGrant build() {
+        io.anvilpick.peer.wire.PeerProto.AllowanceGrant result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.AllowanceGrant buildPartial() {
+        io.anvilpick.peer.wire.PeerProto.AllowanceGrant result = new io.anvilpick.peer.wire.PeerProto.AllowanceGrant(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.AllowanceGrant result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.granted_ = granted_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.retryAfterMillis_ = retryAfterMillis_;
         }
-        return this;
       }
-      /**
-       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
-       */
-      public Builder addAllItems(
-          java.lang.Iterable<? extends io.anvilpick.peer.wire.PeerProto.StoredItem> values) {
-        if (itemsBuilder_ == null) {
-          ensureItemsIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, items_);
-          onChanged();
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.anvilpick.peer.wire.PeerProto.AllowanceGrant) {
+          return mergeFrom((io.anvilpick.peer.wire.PeerProto.AllowanceGrant)other);
         } else {
-          itemsBuilder_.addAllMessages(values);
+          super.mergeFrom(other);
+          return this;
         }
-        return this;
       }
-      /**
-       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
-       */
-      public Builder clearItems() {
-        if (itemsBuilder_ == null) {
-          items_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000008);
-          onChanged();
-        } else {
-          itemsBuilder_.clear();
+
+      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.AllowanceGrant other) {
+        if (other == io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance()) return this;
+        if (other.getGranted() != 0) {
+          setGranted(other.getGranted());
         }
+        if (other.getRetryAfterMillis() != 0L) {
+          setRetryAfterMillis(other.getRetryAfterMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
         return this;
       }
-      /**
-       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
-       */
-      public Builder removeItems(int index) {
-        if (itemsBuilder_ == null) {
-          ensureItemsIsMutable();
-          items_.remove(index);
-          onChanged();
-        } else {
-          itemsBuilder_.remove(index);
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
         }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                granted_ = input.readInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                retryAfterMillis_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
         return this;
       }
+      private int bitField0_;
+
+      private int granted_ ;
       /**
-       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       * <code>int32 granted = 1;</code>
+       * @return The granted.
        */
-      public io.anvilpick.peer.wire.PeerProto.StoredItem.Builder getItemsBuilder(
-          int index) {
-        return internalGetItemsFieldBuilder().getBuilder(index);
+      @java.lang.Override
+      public int getGranted() {
+        return granted_;
       }
       /**
-       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       * <code>int32 granted = 1;</code>
+       * @param value The granted to set.
+       * @return This builder for chaining.
        */
-      public io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder getItemsOrBuilder(
-          int index) {
-        if (itemsBuilder_ == null) {
-          return items_.get(index);  } else {
-          return itemsBuilder_.getMessageOrBuilder(index);
-        }
+      public Builder setGranted(int value) {
+
+        granted_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       * <code>int32 granted = 1;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<? extends io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder> 
-           getItemsOrBuilderList() {
-        if (itemsBuilder_ != null) {
-          return itemsBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(items_);
-        }
+      public Builder clearGranted() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        granted_ = 0;
+        onChanged();
+        return this;
       }
+
+      private long retryAfterMillis_ ;
       /**
-       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       * <pre>
+       * Time after which the grantor expects to have a token again, in milliseconds.
+       * </pre>
+       *
+       * <code>int64 retry_after_millis = 2;</code>
+       * @return The retryAfterMillis.
        */
-      public io.anvilpick.peer.wire.PeerProto.StoredItem.Builder addItemsBuilder() {
-        return internalGetItemsFieldBuilder().addBuilder(
-            io.anvilpick.peer.wire.PeerProto.StoredItem.getDefaultInstance());
+      @java.lang.Override
+      public long getRetryAfterMillis() {
+        return retryAfterMillis_;
       }
       /**
-       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       * <pre>
+       * Time after which the grantor expects to have a token again, in milliseconds.
+       * </pre>
+       *
+       * <code>int64 retry_after_millis = 2;</code>
+       * @param value The retryAfterMillis to set.
+       * @return This builder for chaining.
        */
-      public io.anvilpick.peer.wire.PeerProto.StoredItem.Builder addItemsBuilder(
-          int index) {
-        return internalGetItemsFieldBuilder().addBuilder(
-            index, io.anvilpick.peer.wire.PeerProto.StoredItem.getDefaultInstance());
+      public Builder setRetryAfterMillis(long value) {
+
+        retryAfterMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .anvilpick.peer.StoredItem items = 4;</code>
+       * <pre>
+       * Time after which the grantor expects to have a token again, in milliseconds.
+       * </pre>
+       *
+       * <code>int64 retry_after_millis = 2;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<io.anvilpick.peer.wire.PeerProto.StoredItem.Builder> 
-           getItemsBuilderList() {
-        return internalGetItemsFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          io.anvilpick.peer.wire.PeerProto.StoredItem, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder, io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder> 
-          internalGetItemsFieldBuilder() {
-        if (itemsBuilder_ == null) {
-          itemsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              io.anvilpick.peer.wire.PeerProto.StoredItem, io.anvilpick.peer.wire.PeerProto.StoredItem.Builder, io.anvilpick.peer.wire.PeerProto.StoredItemOrBuilder>(
-                  items_,
-                  ((bitField0_ & 0x00000008) != 0),
-                  getParentForChildren(),
-                  isClean());
-          items_ = null;
-        }
-        return itemsBuilder_;
+      public Builder clearRetryAfterMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        retryAfterMillis_ = 0L;
+        onChanged();
+        return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:anvilpick.peer.Followed)
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.AllowanceGrant)
     }
 
-    // @@protoc_insertion_point(class_scope:anvilpick.peer.Followed)
-    private static final io.anvilpick.peer.wire.PeerProto.Followed DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.AllowanceGrant)
+    private static final io.anvilpick.peer.wire.PeerProto.AllowanceGrant DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.Followed();
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.AllowanceGrant();
     }
 
-    public static io.anvilpick.peer.wire.PeerProto.Followed getDefaultInstance() {
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Followed>
-        PARSER = new com.google.protobuf.AbstractParser<Followed>() {
+    private static final com.google.protobuf.Parser<AllowanceGrant>
+        PARSER = new com.google.protobuf.AbstractParser<AllowanceGrant>() {
       @java.lang.Override
-      public Followed parsePartialFrom(
+      public AllowanceGrant parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -6808,17 +8565,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Followed> parser() {
+    public static com.google.protobuf.Parser<AllowanceGrant> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Followed> getParserForType() {
+    public com.google.protobuf.Parser<AllowanceGrant> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public io.anvilpick.peer.wire.PeerProto.Followed getDefaultInstanceForType() {
+    public io.anvilpick.peer.wire.PeerProto.AllowanceGrant getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -28920,6 +30677,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_anvilpick_peer_Followed_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_anvilpick_peer_Allowance_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_anvilpick_peer_Allowance_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_anvilpick_peer_AllowanceGrant_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_anvilpick_peer_AllowanceGrant_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_anvilpick_peer_ClaimKey_descriptor;
   private static final 
@@ -29069,7 +30836,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\016anvilpick.peer\"\317\006\n\010Envelop" +
+      "\n\npeer.proto\022\016anvilpick.peer\"\272\007\n\010Envelop" +
       "e\022\022\n\nrequest_id\030\001 \001(\004\022/\n\nclaim_vote\030\002 \001(" +
       "\0132\031.anvilpick.peer.ClaimVoteH\000\0223\n\014claim_" +
       "settle\030\003 \001(\0132\033.anvilpick.peer.ClaimSettl" +
@@ -29081,84 +30848,90 @@
       "anvilpick.peer.PartsH\000\022&\n\005crash\030\t \001(\0132\025." +
       "anvilpick.peer.CrashH\000\022(\n\006acquit\030\n \001(\0132\026" +
       ".anvilpick.peer.AcquitH\000\022(\n\006follow\030\013 \001(\013" +
-      "2\026.anvilpick.peer.FollowH\000\022$\n\004done\030\024 \001(\013" +
-      "2\024.anvilpick.peer.DoneH\000\022&\n\005voted\030\025 \001(\0132" +
-      "\025.anvilpick.peer.VotedH\000\022(\n\006sealed\030\026 \001(\013" +
-      "2\026.anvilpick.peer.SealedH\000\022.\n\tinstalled\030" +
-      "\027 \001(\0132\031.anvilpick.peer.InstalledH\000\0223\n\014go" +
-      "ssip_reply\030\030 \001(\0132\033.anvilpick.peer.Gossip" +
-      "ReplyH\000\0221\n\013parts_reply\030\031 \001(\0132\032.anvilpick" +
-      ".peer.PartsReplyH\000\022,\n\010rejected\030\032 \001(\0132\030.a" +
-      "nvilpick.peer.RejectedH\000\022,\n\010followed\030\033 \001" +
-      "(\0132\030.anvilpick.peer.FollowedH\000B\006\n\004body\"\027" +
-      "\n\006Follow\022\r\n\005after\030\001 \001(\003\"I\n\nStoredItem\022\013\n" +
+      "2\026.anvilpick.peer.FollowH\000\022.\n\tallowance\030" +
+      "\014 \001(\0132\031.anvilpick.peer.AllowanceH\000\022$\n\004do" +
+      "ne\030\024 \001(\0132\024.anvilpick.peer.DoneH\000\022&\n\005vote" +
+      "d\030\025 \001(\0132\025.anvilpick.peer.VotedH\000\022(\n\006seal" +
+      "ed\030\026 \001(\0132\026.anvilpick.peer.SealedH\000\022.\n\tin" +
+      "stalled\030\027 \001(\0132\031.anvilpick.peer.Installed" +
+      "H\000\0223\n\014gossip_reply\030\030 \001(\0132\033.anvilpick.pee" +
+      "r.GossipReplyH\000\0221\n\013parts_reply\030\031 \001(\0132\032.a" +
+      "nvilpick.peer.PartsReplyH\000\022,\n\010rejected\030\032" +
+      " \001(\0132\030.anvilpick.peer.RejectedH\000\022,\n\010foll" +
+      "owed\030\033 \001(\0132\030.anvilpick.peer.FollowedH\000\0229" +
+      "\n\017allowance_grant\030\034 \001(\0132\036.anvilpick.peer" +
+      ".AllowanceGrantH\000B\006\n\004body\"$\n\006Follow\022\r\n\005a" +
+      "fter\030\001 \001(\003\022\013\n\003era\030\002 \001(\003\"I\n\nStoredItem\022\013\n" +
       "\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\022\n\005value\030\003 " +
-      "\001(\tH\000\210\001\001B\010\n\006_value\"j\n\010Followed\022\r\n\005whole\030" +
+      "\001(\tH\000\210\001\001B\010\n\006_value\"w\n\010Followed\022\r\n\005whole\030" +
       "\001 \001(\010\022\020\n\010revision\030\002 \001(\003\022\022\n\nage_millis\030\003 " +
       "\001(\003\022)\n\005items\030\004 \003(\0132\032.anvilpick.peer.Stor" +
-      "edItem\"8\n\010ClaimKey\022\017\n\007service\030\001 \001(\t\022\016\n\006t" +
-      "enant\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\"@\n\nKeptAnswer\022\016" +
-      "\n\006status\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004" +
-      "body\030\003 \001(\014\"\245\001\n\nClaimState\022-\n\004kind\030\001 \001(\0162" +
-      "\037.anvilpick.peer.ClaimState.Kind\022/\n\006answ" +
-      "er\030\002 \001(\0132\032.anvilpick.peer.KeptAnswerH\000\210\001" +
-      "\001\",\n\004Kind\022\013\n\007RUNNING\020\000\022\010\n\004DONE\020\001\022\r\n\tUNSE" +
-      "TTLED\020\002B\t\n\007_answer\"\263\001\n\005Claim\022%\n\003key\030\001 \001(" +
-      "\0132\030.anvilpick.peer.ClaimKey\022\016\n\006holder\030\002 " +
-      "\001(\t\022\023\n\013fingerprint\030\003 \001(\t\022)\n\005state\030\004 \001(\0132" +
-      "\032.anvilpick.peer.ClaimState\022\031\n\021runs_unti" +
-      "l_millis\030\005 \001(\003\022\030\n\020forget_at_millis\030\006 \001(\003" +
-      "\"O\n\tClaimVote\022\r\n\005group\030\001 \001(\005\022\r\n\005epoch\030\002 " +
-      "\001(\003\022$\n\005claim\030\003 \001(\0132\025.anvilpick.peer.Clai" +
-      "m\"|\n\013ClaimSettle\022\r\n\005group\030\001 \001(\005\022%\n\003key\030\002" +
-      " \001(\0132\030.anvilpick.peer.ClaimKey\022\016\n\006holder" +
-      "\030\003 \001(\t\022\'\n\003end\030\004 \001(\0132\032.anvilpick.peer.Cla" +
-      "imState\"T\n\014ClaimRelease\022\r\n\005group\030\001 \001(\005\022%" +
-      "\n\003key\030\002 \001(\0132\030.anvilpick.peer.ClaimKey\022\016\n" +
-      "\006holder\030\003 \001(\t\"$\n\004Seal\022\r\n\005group\030\001 \001(\005\022\r\n\005" +
-      "epoch\030\002 \001(\003\"a\n\007Install\022\r\n\005group\030\001 \001(\005\022\r\n" +
-      "\005epoch\030\002 \001(\003\022\021\n\tchange_id\030\003 \001(\t\022%\n\006claim" +
-      "s\030\004 \003(\0132\025.anvilpick.peer.Claim\"\203\001\n\006Membe" +
-      "r\022\020\n\010instance\030\001 \001(\t\022\024\n\014call_address\030\002 \001(" +
-      "\t\022\024\n\014peer_address\030\003 \001(\t\022\016\n\006region\030\004 \001(\t\022" +
-      "\014\n\004zone\030\005 \001(\t\022\017\n\007leaving\030\006 \001(\010\022\014\n\004beat\030\007" +
-      " \001(\003\",\n\nMemberBeat\022\020\n\010instance\030\001 \001(\t\022\014\n\004" +
-      "beat\030\002 \001(\003\"b\n\014MemberDigest\022\'\n\007members\030\001 " +
-      "\003(\0132\026.anvilpick.peer.Member\022)\n\005beats\030\002 \003" +
-      "(\0132\032.anvilpick.peer.MemberBeat\"\216\001\n\006Gossi" +
-      "p\022\026\n\016config_version\030\001 \001(\003\022\031\n\021claim_map_v" +
-      "ersion\030\002 \001(\003\022\034\n\024leaving_as_of_millis\030\004 \001" +
-      "(\003\022-\n\007members\030\005 \001(\0132\034.anvilpick.peer.Mem" +
-      "berDigestJ\004\010\003\020\004\"6\n\013LeavingList\022\024\n\014as_of_" +
-      "millis\030\001 \001(\003\022\021\n\taddresses\030\002 \003(\t\"\030\n\005Parts" +
-      "\022\017\n\007digests\030\001 \003(\t\"?\n\005Crash\022\023\n\013fingerprin" +
-      "t\030\001 \001(\t\022\016\n\006target\030\002 \001(\t\022\021\n\tat_millis\030\003 \001" +
-      "(\003\"\035\n\006Acquit\022\023\n\013fingerprint\030\001 \001(\t\"\006\n\004Don" +
-      "e\"\250\001\n\005Voted\022(\n\004kind\030\001 \001(\0162\032.anvilpick.pe" +
-      "er.Voted.Kind\022*\n\006holder\030\002 \001(\0132\025.anvilpic" +
-      "k.peer.ClaimH\000\210\001\001\022\r\n\005epoch\030\003 \001(\003\"/\n\004Kind" +
-      "\022\013\n\007GRANTED\020\000\022\t\n\005TAKEN\020\001\022\017\n\013WRONG_EPOCH\020" +
-      "\002B\t\n\007_holder\"[\n\006Sealed\022\r\n\005group\030\001 \001(\005\022\r\n" +
-      "\005epoch\030\002 \001(\003\022\014\n\004held\030\003 \001(\010\022%\n\006claims\030\004 \003" +
-      "(\0132\025.anvilpick.peer.Claim\"\031\n\tInstalled\022\014" +
-      "\n\004kept\030\001 \001(\010\"-\n\nSignedHead\022\014\n\004head\030\001 \001(\t" +
-      "\022\021\n\tsignature\030\002 \001(\t\"l\n\nClaimGroup\022\r\n\005ind" +
-      "ex\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\021\n\tchange_id\030\003 \001" +
-      "(\t\022\033\n\023trusted_from_millis\030\004 \001(\003\022\020\n\010repli" +
-      "cas\030\005 \003(\t\"G\n\010ClaimMap\022\017\n\007version\030\001 \001(\003\022*" +
-      "\n\006groups\030\002 \003(\0132\032.anvilpick.peer.ClaimGro" +
-      "up\"\254\002\n\013GossipReply\022-\n\004head\030\001 \001(\0132\032.anvil" +
-      "pick.peer.SignedHeadH\000\210\001\001\0220\n\tclaim_map\030\002" +
-      " \001(\0132\030.anvilpick.peer.ClaimMapH\001\210\001\001\022\026\n\016c" +
-      "onfig_version\030\003 \001(\003\022\031\n\021claim_map_version" +
-      "\030\004 \001(\003\0221\n\007leaving\030\006 \001(\0132\033.anvilpick.peer" +
-      ".LeavingListH\002\210\001\001\022-\n\007members\030\007 \001(\0132\034.anv" +
-      "ilpick.peer.MemberDigestB\007\n\005_headB\014\n\n_cl" +
-      "aim_mapB\n\n\010_leavingJ\004\010\005\020\006\"$\n\004Part\022\016\n\006dig" +
-      "est\030\001 \001(\t\022\014\n\004text\030\002 \001(\t\"1\n\nPartsReply\022#\n" +
-      "\005parts\030\001 \003(\0132\024.anvilpick.peer.Part\"\032\n\010Re" +
-      "jected\022\016\n\006reason\030\001 \001(\tB%\n\026io.anvilpick.p" +
-      "eer.wireB\tPeerProtoP\000b\006proto3"
+      "edItem\022\013\n\003era\030\005 \001(\003\"+\n\tAllowance\022\016\n\006tena" +
+      "nt\030\001 \001(\t\022\016\n\006wanted\030\002 \001(\005\"=\n\016AllowanceGra" +
+      "nt\022\017\n\007granted\030\001 \001(\005\022\032\n\022retry_after_milli" +
+      "s\030\002 \001(\003\"8\n\010ClaimKey\022\017\n\007service\030\001 \001(\t\022\016\n\006" +
+      "tenant\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\"@\n\nKeptAnswer\022" +
+      "\016\n\006status\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n" +
+      "\004body\030\003 \001(\014\"\245\001\n\nClaimState\022-\n\004kind\030\001 \001(\016" +
+      "2\037.anvilpick.peer.ClaimState.Kind\022/\n\006ans" +
+      "wer\030\002 \001(\0132\032.anvilpick.peer.KeptAnswerH\000\210" +
+      "\001\001\",\n\004Kind\022\013\n\007RUNNING\020\000\022\010\n\004DONE\020\001\022\r\n\tUNS" +
+      "ETTLED\020\002B\t\n\007_answer\"\263\001\n\005Claim\022%\n\003key\030\001 \001" +
+      "(\0132\030.anvilpick.peer.ClaimKey\022\016\n\006holder\030\002" +
+      " \001(\t\022\023\n\013fingerprint\030\003 \001(\t\022)\n\005state\030\004 \001(\013" +
+      "2\032.anvilpick.peer.ClaimState\022\031\n\021runs_unt" +
+      "il_millis\030\005 \001(\003\022\030\n\020forget_at_millis\030\006 \001(" +
+      "\003\"O\n\tClaimVote\022\r\n\005group\030\001 \001(\005\022\r\n\005epoch\030\002" +
+      " \001(\003\022$\n\005claim\030\003 \001(\0132\025.anvilpick.peer.Cla" +
+      "im\"|\n\013ClaimSettle\022\r\n\005group\030\001 \001(\005\022%\n\003key\030" +
+      "\002 \001(\0132\030.anvilpick.peer.ClaimKey\022\016\n\006holde" +
+      "r\030\003 \001(\t\022\'\n\003end\030\004 \001(\0132\032.anvilpick.peer.Cl" +
+      "aimState\"T\n\014ClaimRelease\022\r\n\005group\030\001 \001(\005\022" +
+      "%\n\003key\030\002 \001(\0132\030.anvilpick.peer.ClaimKey\022\016" +
+      "\n\006holder\030\003 \001(\t\"$\n\004Seal\022\r\n\005group\030\001 \001(\005\022\r\n" +
+      "\005epoch\030\002 \001(\003\"a\n\007Install\022\r\n\005group\030\001 \001(\005\022\r" +
+      "\n\005epoch\030\002 \001(\003\022\021\n\tchange_id\030\003 \001(\t\022%\n\006clai" +
+      "ms\030\004 \003(\0132\025.anvilpick.peer.Claim\"\203\001\n\006Memb" +
+      "er\022\020\n\010instance\030\001 \001(\t\022\024\n\014call_address\030\002 \001" +
+      "(\t\022\024\n\014peer_address\030\003 \001(\t\022\016\n\006region\030\004 \001(\t" +
+      "\022\014\n\004zone\030\005 \001(\t\022\017\n\007leaving\030\006 \001(\010\022\014\n\004beat\030" +
+      "\007 \001(\003\",\n\nMemberBeat\022\020\n\010instance\030\001 \001(\t\022\014\n" +
+      "\004beat\030\002 \001(\003\"b\n\014MemberDigest\022\'\n\007members\030\001" +
+      " \003(\0132\026.anvilpick.peer.Member\022)\n\005beats\030\002 " +
+      "\003(\0132\032.anvilpick.peer.MemberBeat\"\216\001\n\006Goss" +
+      "ip\022\026\n\016config_version\030\001 \001(\003\022\031\n\021claim_map_" +
+      "version\030\002 \001(\003\022\034\n\024leaving_as_of_millis\030\004 " +
+      "\001(\003\022-\n\007members\030\005 \001(\0132\034.anvilpick.peer.Me" +
+      "mberDigestJ\004\010\003\020\004\"6\n\013LeavingList\022\024\n\014as_of" +
+      "_millis\030\001 \001(\003\022\021\n\taddresses\030\002 \003(\t\"\030\n\005Part" +
+      "s\022\017\n\007digests\030\001 \003(\t\"?\n\005Crash\022\023\n\013fingerpri" +
+      "nt\030\001 \001(\t\022\016\n\006target\030\002 \001(\t\022\021\n\tat_millis\030\003 " +
+      "\001(\003\"\035\n\006Acquit\022\023\n\013fingerprint\030\001 \001(\t\"\006\n\004Do" +
+      "ne\"\250\001\n\005Voted\022(\n\004kind\030\001 \001(\0162\032.anvilpick.p" +
+      "eer.Voted.Kind\022*\n\006holder\030\002 \001(\0132\025.anvilpi" +
+      "ck.peer.ClaimH\000\210\001\001\022\r\n\005epoch\030\003 \001(\003\"/\n\004Kin" +
+      "d\022\013\n\007GRANTED\020\000\022\t\n\005TAKEN\020\001\022\017\n\013WRONG_EPOCH" +
+      "\020\002B\t\n\007_holder\"[\n\006Sealed\022\r\n\005group\030\001 \001(\005\022\r" +
+      "\n\005epoch\030\002 \001(\003\022\014\n\004held\030\003 \001(\010\022%\n\006claims\030\004 " +
+      "\003(\0132\025.anvilpick.peer.Claim\"\031\n\tInstalled\022" +
+      "\014\n\004kept\030\001 \001(\010\"-\n\nSignedHead\022\014\n\004head\030\001 \001(" +
+      "\t\022\021\n\tsignature\030\002 \001(\t\"l\n\nClaimGroup\022\r\n\005in" +
+      "dex\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\021\n\tchange_id\030\003 " +
+      "\001(\t\022\033\n\023trusted_from_millis\030\004 \001(\003\022\020\n\010repl" +
+      "icas\030\005 \003(\t\"G\n\010ClaimMap\022\017\n\007version\030\001 \001(\003\022" +
+      "*\n\006groups\030\002 \003(\0132\032.anvilpick.peer.ClaimGr" +
+      "oup\"\254\002\n\013GossipReply\022-\n\004head\030\001 \001(\0132\032.anvi" +
+      "lpick.peer.SignedHeadH\000\210\001\001\0220\n\tclaim_map\030" +
+      "\002 \001(\0132\030.anvilpick.peer.ClaimMapH\001\210\001\001\022\026\n\016" +
+      "config_version\030\003 \001(\003\022\031\n\021claim_map_versio" +
+      "n\030\004 \001(\003\0221\n\007leaving\030\006 \001(\0132\033.anvilpick.pee" +
+      "r.LeavingListH\002\210\001\001\022-\n\007members\030\007 \001(\0132\034.an" +
+      "vilpick.peer.MemberDigestB\007\n\005_headB\014\n\n_c" +
+      "laim_mapB\n\n\010_leavingJ\004\010\005\020\006\"$\n\004Part\022\016\n\006di" +
+      "gest\030\001 \001(\t\022\014\n\004text\030\002 \001(\t\"1\n\nPartsReply\022#" +
+      "\n\005parts\030\001 \003(\0132\024.anvilpick.peer.Part\"\032\n\010R" +
+      "ejected\022\016\n\006reason\030\001 \001(\tB%\n\026io.anvilpick." +
+      "peer.wireB\tPeerProtoP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -29169,13 +30942,13 @@
     internal_static_anvilpick_peer_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Envelope_descriptor,
-        new java.lang.String[] { "RequestId", "ClaimVote", "ClaimSettle", "ClaimRelease", "Seal", "Install", "Gossip", "Parts", "Crash", "Acquit", "Follow", "Done", "Voted", "Sealed", "Installed", "GossipReply", "PartsReply", "Rejected", "Followed", "Body", });
+        new java.lang.String[] { "RequestId", "ClaimVote", "ClaimSettle", "ClaimRelease", "Seal", "Install", "Gossip", "Parts", "Crash", "Acquit", "Follow", "Allowance", "Done", "Voted", "Sealed", "Installed", "GossipReply", "PartsReply", "Rejected", "Followed", "AllowanceGrant", "Body", });
     internal_static_anvilpick_peer_Follow_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_anvilpick_peer_Follow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Follow_descriptor,
-        new java.lang.String[] { "After", });
+        new java.lang.String[] { "After", "Era", });
     internal_static_anvilpick_peer_StoredItem_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_anvilpick_peer_StoredItem_fieldAccessorTable = new
@@ -29187,171 +30960,183 @@
     internal_static_anvilpick_peer_Followed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Followed_descriptor,
-        new java.lang.String[] { "Whole", "Revision", "AgeMillis", "Items", });
-    internal_static_anvilpick_peer_ClaimKey_descriptor =
+        new java.lang.String[] { "Whole", "Revision", "AgeMillis", "Items", "Era", });
+    internal_static_anvilpick_peer_Allowance_descriptor =
       getDescriptor().getMessageType(4);
+    internal_static_anvilpick_peer_Allowance_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_anvilpick_peer_Allowance_descriptor,
+        new java.lang.String[] { "Tenant", "Wanted", });
+    internal_static_anvilpick_peer_AllowanceGrant_descriptor =
+      getDescriptor().getMessageType(5);
+    internal_static_anvilpick_peer_AllowanceGrant_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_anvilpick_peer_AllowanceGrant_descriptor,
+        new java.lang.String[] { "Granted", "RetryAfterMillis", });
+    internal_static_anvilpick_peer_ClaimKey_descriptor =
+      getDescriptor().getMessageType(6);
     internal_static_anvilpick_peer_ClaimKey_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimKey_descriptor,
         new java.lang.String[] { "Service", "Tenant", "Key", });
     internal_static_anvilpick_peer_KeptAnswer_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(7);
     internal_static_anvilpick_peer_KeptAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_KeptAnswer_descriptor,
         new java.lang.String[] { "Status", "ContentType", "Body", });
     internal_static_anvilpick_peer_ClaimState_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(8);
     internal_static_anvilpick_peer_ClaimState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimState_descriptor,
         new java.lang.String[] { "Kind", "Answer", });
     internal_static_anvilpick_peer_Claim_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(9);
     internal_static_anvilpick_peer_Claim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Claim_descriptor,
         new java.lang.String[] { "Key", "Holder", "Fingerprint", "State", "RunsUntilMillis", "ForgetAtMillis", });
     internal_static_anvilpick_peer_ClaimVote_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(10);
     internal_static_anvilpick_peer_ClaimVote_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimVote_descriptor,
         new java.lang.String[] { "Group", "Epoch", "Claim", });
     internal_static_anvilpick_peer_ClaimSettle_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(11);
     internal_static_anvilpick_peer_ClaimSettle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimSettle_descriptor,
         new java.lang.String[] { "Group", "Key", "Holder", "End", });
     internal_static_anvilpick_peer_ClaimRelease_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(12);
     internal_static_anvilpick_peer_ClaimRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimRelease_descriptor,
         new java.lang.String[] { "Group", "Key", "Holder", });
     internal_static_anvilpick_peer_Seal_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(13);
     internal_static_anvilpick_peer_Seal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Seal_descriptor,
         new java.lang.String[] { "Group", "Epoch", });
     internal_static_anvilpick_peer_Install_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_anvilpick_peer_Install_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Install_descriptor,
         new java.lang.String[] { "Group", "Epoch", "ChangeId", "Claims", });
     internal_static_anvilpick_peer_Member_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_anvilpick_peer_Member_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Member_descriptor,
         new java.lang.String[] { "Instance", "CallAddress", "PeerAddress", "Region", "Zone", "Leaving", "Beat", });
     internal_static_anvilpick_peer_MemberBeat_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_anvilpick_peer_MemberBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_MemberBeat_descriptor,
         new java.lang.String[] { "Instance", "Beat", });
     internal_static_anvilpick_peer_MemberDigest_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_anvilpick_peer_MemberDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_MemberDigest_descriptor,
         new java.lang.String[] { "Members", "Beats", });
     internal_static_anvilpick_peer_Gossip_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_anvilpick_peer_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Gossip_descriptor,
         new java.lang.String[] { "ConfigVersion", "ClaimMapVersion", "LeavingAsOfMillis", "Members", });
     internal_static_anvilpick_peer_LeavingList_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_anvilpick_peer_LeavingList_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_LeavingList_descriptor,
         new java.lang.String[] { "AsOfMillis", "Addresses", });
     internal_static_anvilpick_peer_Parts_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_anvilpick_peer_Parts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Parts_descriptor,
         new java.lang.String[] { "Digests", });
     internal_static_anvilpick_peer_Crash_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_anvilpick_peer_Crash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Crash_descriptor,
         new java.lang.String[] { "Fingerprint", "Target", "AtMillis", });
     internal_static_anvilpick_peer_Acquit_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_anvilpick_peer_Acquit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Acquit_descriptor,
         new java.lang.String[] { "Fingerprint", });
     internal_static_anvilpick_peer_Done_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(23);
     internal_static_anvilpick_peer_Done_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Done_descriptor,
         new java.lang.String[] { });
     internal_static_anvilpick_peer_Voted_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(24);
     internal_static_anvilpick_peer_Voted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Voted_descriptor,
         new java.lang.String[] { "Kind", "Holder", "Epoch", });
     internal_static_anvilpick_peer_Sealed_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(25);
     internal_static_anvilpick_peer_Sealed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Sealed_descriptor,
         new java.lang.String[] { "Group", "Epoch", "Held", "Claims", });
     internal_static_anvilpick_peer_Installed_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_anvilpick_peer_Installed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Installed_descriptor,
         new java.lang.String[] { "Kept", });
     internal_static_anvilpick_peer_SignedHead_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(27);
     internal_static_anvilpick_peer_SignedHead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_SignedHead_descriptor,
         new java.lang.String[] { "Head", "Signature", });
     internal_static_anvilpick_peer_ClaimGroup_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_anvilpick_peer_ClaimGroup_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimGroup_descriptor,
         new java.lang.String[] { "Index", "Epoch", "ChangeId", "TrustedFromMillis", "Replicas", });
     internal_static_anvilpick_peer_ClaimMap_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(29);
     internal_static_anvilpick_peer_ClaimMap_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimMap_descriptor,
         new java.lang.String[] { "Version", "Groups", });
     internal_static_anvilpick_peer_GossipReply_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(30);
     internal_static_anvilpick_peer_GossipReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_GossipReply_descriptor,
         new java.lang.String[] { "Head", "ClaimMap", "ConfigVersion", "ClaimMapVersion", "Leaving", "Members", });
     internal_static_anvilpick_peer_Part_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(31);
     internal_static_anvilpick_peer_Part_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Part_descriptor,
         new java.lang.String[] { "Digest", "Text", });
     internal_static_anvilpick_peer_PartsReply_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(32);
     internal_static_anvilpick_peer_PartsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_PartsReply_descriptor,
         new java.lang.String[] { "Parts", });
     internal_static_anvilpick_peer_Rejected_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(33);
     internal_static_anvilpick_peer_Rejected_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Rejected_descriptor,
