--- a/anvilpick-core/src/test/java/io/anvilpick/entry/FakeTargetClient.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/entry/FakeTargetClient.java
@@ -23,6 +23,7 @@
     final List<String> sentTo = new ArrayList<>();
     final List<CallRequest> sent = new ArrayList<>();
     boolean listening = true;
+    Runnable onSend = () -> {};
 
     static TargetReply answered(int status) {
         CallAnswer answer = new CallAnswer(status, ImmutableList.of(), new byte[0], false);
@@ -38,6 +39,7 @@
     public Exchange send(TargetConfig target, CallRequest request) {
         sentTo.add(target.id());
         sent.add(request);
+        onSend.run();
         TargetReply reply = replies.isEmpty() ? answered(200) : replies.poll();
         CompletableFuture<TargetReply> done = CompletableFuture.completedFuture(reply);
         return new Exchange() {
