--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -29,6 +29,9 @@
  * {@link #REREGISTRATION_GRACE} after it is available again following an outage of {@link #MIN_OUTAGE}, they are kept. They are
  * removed if they have not registered again when that time has passed.
  *
+ * <p>When the store returns from an older copy, with a later era, all registrations that the copy lacks are kept for
+ * {@link #REREGISTRATION_GRACE}, and entries that are known to be outdated take effect only after that.
+ *
  * <p>A configuration is never replaced by an older one.
  */
 public final class FleetState {
@@ -41,18 +44,23 @@
      */
     static final Duration MIN_OUTAGE = Duration.ofMillis(3_200);
 
+    /** The era before the first read. */
+    private static final long NO_ERA = -1;
+
     private static final Logger LOG = Logger.getLogger(FleetState.class);
 
     private final ReentrantLock lock = new ReentrantLock();
     private final TimeSource time;
     private final Consumer<FleetView> listener;
-    private final Registrations<RegisteredTarget> targets = new Registrations<>("target", RegisteredTarget::service);
-    private final Registrations<EntryMember> members = new Registrations<>("member", EntryMember::region);
+    private final KeptAcrossEras eras;
+    private final Registrations<RegisteredTarget> targets;
+    private final Registrations<EntryMember> members;
     private final UnreadableItems unreadable = new UnreadableItems();
     private @Nullable RouteConfiguration configuration;
     private boolean storeUnavailable;
     private long graceEndNanos;
     private long lastAnswerNanos;
+    private volatile long era = NO_ERA;
     private volatile FleetView view = FleetView.empty();
 
     /** The last view that the listener has taken. It is another object than {@link #view} until the listener has taken that. */
@@ -70,6 +78,9 @@
     public FleetState(TimeSource time, Consumer<FleetView> listener) {
         this.time = time;
         this.listener = listener;
+        this.eras = new KeptAcrossEras(time);
+        this.targets = new Registrations<>("target", RegisteredTarget::service, eras::recordRemoval);
+        this.members = new Registrations<>("member", EntryMember::region, ignored -> {});
         this.graceEndNanos = time.nanos();
         this.lastAnswerNanos = graceEndNanos;
     }
@@ -123,6 +134,36 @@
         }
     }
 
+    /**
+     * Records the era of the store that is read next. Starts {@link #REREGISTRATION_GRACE} if it is later than the one read before: what
+     * the store acknowledged since its copy is lost.
+     */
+    public void onEra(long nextEra) {
+        lock.lock();
+        try {
+            if (nextEra <= era) {
+                return;
+            }
+            if (era != NO_ERA) {
+                LOG.warnf(
+                        "event=store_era_changed era=%d before=%d kept_ms=%d",
+                        nextEra, era, REREGISTRATION_GRACE.toMillis());
+                eras.begin(targets.all());
+                targets.keepMissing();
+                members.keepMissing();
+                graceEndNanos = time.nanos() + REREGISTRATION_GRACE.toNanos();
+            }
+            era = nextEra;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the latest era of the store that was read; negative before the first read. */
+    public long era() {
+        return era;
+    }
+
     /** Applies changes in the order of the store. */
     public void apply(Iterable<FleetChange> changes) {
         lock.lock();
@@ -168,7 +209,7 @@
     public void expire() {
         lock.lock();
         try {
-            if (targets.hasLapsed() || members.hasLapsed()) {
+            if (targets.hasLapsed() || members.hasLapsed() || eras.isActive()) {
                 changed = true;
                 dropLapsed();
             }
@@ -184,10 +225,15 @@
         switch (change) {
             case FleetChange.ConfigurationWritten written -> replaceConfiguration(written.configuration());
             case FleetChange.TargetRegistered(RegisteredTarget target) -> {
-                targets.put(target.id(), target);
+                if (!eras.holdsBack(target)) {
+                    targets.put(target.id(), target);
+                }
                 unreadable.remove(new FleetChange.Subject.Target(target.id()));
             }
-            case FleetChange.TargetRemoved removed -> targets.remove(removed.id());
+            case FleetChange.TargetRemoved removed -> {
+                eras.forget(removed.id());
+                targets.remove(removed.id());
+            }
             case FleetChange.MemberRegistered(EntryMember member) -> {
                 members.put(member.name(), member);
                 unreadable.remove(new FleetChange.Subject.Member(member.name()));
@@ -222,6 +268,9 @@
 
     private void dropLapsed() {
         boolean inGracePeriod = storeUnavailable || time.nanos() - graceEndNanos < 0;
+        if (!inGracePeriod && eras.isActive()) {
+            eras.end().forEach(target -> targets.put(target.id(), target));
+        }
         targets.dropLapsed(inGracePeriod);
         members.dropLapsed(inGracePeriod);
     }
@@ -263,10 +312,20 @@
         private final Function<T, String> groupOf;
         private final Map<String, T> registrations = new LinkedHashMap<>();
         private final Map<String, T> lapsed = new HashMap<>();
+        private final Consumer<T> removalListener;
+
+        /** Registrations that the store has neither stated nor deleted since its era changed. */
+        private final Set<String> keptMissing = new HashSet<>();
 
-        private Registrations(String kind, Function<T, String> groupOf) {
+        private Registrations(String kind, Function<T, String> groupOf, Consumer<T> removalListener) {
             this.kind = kind;
             this.groupOf = groupOf;
+            this.removalListener = removalListener;
+        }
+
+        /** Keeps all present registrations for the grace period if the store turns out to lack them. */
+        private void keepMissing() {
+            keptMissing.addAll(registrations.keySet());
         }
 
         private Iterable<T> all() {
@@ -276,12 +335,18 @@
         private void put(String id, T registration) {
             T before = registrations.put(id, registration);
             lapsed.remove(id);
+            keptMissing.remove(id);
             if (!registration.equals(before)) {
                 LOG.infof("event=%s_seen id=%s entry=\"%s\"", kind, id, registration);
             }
         }
 
         private void remove(String id) {
+            keptMissing.remove(id);
+            lapse(id);
+        }
+
+        private void lapse(String id) {
             T current = registrations.get(id);
             if (current != null) {
                 lapsed.put(id, current);
@@ -292,7 +357,7 @@
             registrations.keySet().stream()
                     .filter(id -> !ids.contains(id))
                     .toList()
-                    .forEach(this::remove);
+                    .forEach(this::lapse);
         }
 
         private boolean hasLapsed() {
@@ -300,20 +365,28 @@
         }
 
         /**
-         * Removes lapsed registrations. In the grace period it keeps those of a group of which more than half have lapsed.
+         * Removes lapsed registrations. In the grace period it keeps those that an older copy of the store lacked, and those of a group
+         * of which more than half have lapsed.
          */
         private void dropLapsed(boolean inGracePeriod) {
             List<String> dropped = new ArrayList<>();
             lapsed.forEach((id, registration) -> {
-                if (!inGracePeriod || !hasMostlyLapsed(groupOf.apply(registration))) {
+                if (!inGracePeriod || !isKept(id, registration)) {
                     dropped.add(id);
                 }
             });
             for (String id : dropped) {
                 registrations.remove(id);
-                lapsed.remove(id);
+                removalListener.accept(lapsed.remove(id));
                 LOG.infof("event=%s_gone id=%s", kind, id);
             }
+            if (!inGracePeriod) {
+                keptMissing.clear();
+            }
+        }
+
+        private boolean isKept(String id, T registration) {
+            return keptMissing.contains(id) || hasMostlyLapsed(groupOf.apply(registration));
         }
 
         private boolean hasMostlyLapsed(String group) {
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetStore.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetStore.java
@@ -23,22 +23,26 @@
 
     /**
      * Waits up to {@code wait} for changes after {@code revision}. A call that is overdue is sent once more on another connection,
-     * because its own may have lost its packets without being closed.
+     * because its own may have lost its packets without being closed. If the store's era is or becomes later than that of {@code revision},
+     * the history is lost.
      */
-    FleetUpdate awaitChanges(long revision, Duration wait) throws PlatformException;
+    FleetUpdate awaitChanges(StoreRevision revision, Duration wait) throws PlatformException;
+
+    /** Returns the latest era that a response of the store has stated; 0 if none has. Does not block. */
+    long era();
 
     /** Makes a waiting {@link #awaitChanges} fail at once. Its connection may be dead without having been closed. */
     void abortWaiting();
 
-    /** Grants a lease that lapses unless it is renewed within {@code timeToLive}, and returns its number. */
-    long grantLease(Duration timeToLive) throws PlatformException;
+    /** Grants a lease that lapses unless it is renewed within {@code timeToLive}. */
+    StoreLease grantLease(Duration timeToLive) throws PlatformException;
 
-    /** Renews a lease and returns whether it was still valid. */
-    boolean renewLease(long lease) throws PlatformException;
+    /** Renews a lease and returns whether it was still valid, which it is not in a later era. */
+    boolean renewLease(StoreLease lease) throws PlatformException;
 
-    /** Ends a lease and removes what was registered under it. */
-    void endLease(long lease) throws PlatformException;
+    /** Ends a lease and removes what was registered under it. Has no effect in a later era. */
+    void endLease(StoreLease lease) throws PlatformException;
 
     /** Registers {@code member} until {@code lease} ends, and returns whether the lease was still valid. */
-    boolean register(EntryMember member, long lease) throws PlatformException;
+    boolean register(EntryMember member, StoreLease lease) throws PlatformException;
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/RelayLog.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/RelayLog.java
@@ -35,9 +35,9 @@
     private boolean initialized;
 
     /** Revision after which {@link #changes} is complete. */
-    private long completeAfter;
+    private StoreRevision completeAfter = StoreRevision.NONE;
 
-    private long revision;
+    private StoreRevision revision = StoreRevision.NONE;
     private long readAtNanos;
 
     private record DecodedItem(StoredItem item, ImmutableList<FleetChange> decoded) {}
@@ -48,7 +48,8 @@
     }
 
     /** Replaces the content by all items of the store, read {@code age} ago at {@code readRevision}. */
-    public void replaceAll(Map<StoredItem, ImmutableList<FleetChange>> items, long readRevision, Duration age) {
+    public void replaceAll(
+            Map<StoredItem, ImmutableList<FleetChange>> items, StoreRevision readRevision, Duration age) {
         lock.lock();
         try {
             latest.clear();
@@ -62,32 +63,39 @@
         }
     }
 
-    /** Adds changes up to {@code readRevision}, read {@code age} ago. */
-    public void add(Map<StoredItem, ImmutableList<FleetChange>> items, long readRevision, Duration age) {
+    /** Adds changes up to {@code readRevision}, read {@code age} ago. They are of the era of the last {@link #replaceAll}. */
+    public void add(Map<StoredItem, ImmutableList<FleetChange>> items, StoreRevision readRevision, Duration age) {
         lock.lock();
         try {
             items.forEach(this::add);
-            recordRead(Math.max(revision, readRevision), age);
+            recordRead(StoreRevision.laterOf(revision, readRevision), age);
         } finally {
             lock.unlock();
         }
     }
 
-    /** Returns the update for a daemon that has read the store up to {@code after}; empty if this daemon has read nothing yet. */
-    public Optional<RelayedUpdate> updateAfter(long after) {
+    /**
+     * Returns the update for a daemon that has read the store up to {@code after}; empty if this daemon has read nothing yet. A daemon
+     * that has read another era gets the full state.
+     */
+    public Optional<RelayedUpdate> updateAfter(StoreRevision after) {
         lock.lock();
         try {
             if (!initialized) {
                 return Optional.empty();
             }
-            FleetUpdate update = after < completeAfter ? fullState() : changesAfter(after);
+            FleetUpdate update = hasChangesSince(after) ? changesAfter(after) : fullState();
             return Optional.of(new RelayedUpdate(update, Duration.ofNanos(time.nanos() - readAtNanos)));
         } finally {
             lock.unlock();
         }
     }
 
-    private void recordRead(long readRevision, Duration age) {
+    private boolean hasChangesSince(StoreRevision after) {
+        return after.era() == completeAfter.era() && !completeAfter.isAfter(after);
+    }
+
+    private void recordRead(StoreRevision readRevision, Duration age) {
         revision = readRevision;
         readAtNanos = time.nanos() - age.toNanos();
     }
@@ -101,8 +109,8 @@
         }
         changes.putLast(item.key(), item);
         if (changes.size() > MAX_CHANGES) {
-            completeAfter =
-                    Math.max(completeAfter, changes.pollFirstEntry().getValue().revision());
+            completeAfter = StoreRevision.laterOf(
+                    completeAfter, changes.pollFirstEntry().getValue().revision());
         }
     }
 
@@ -112,10 +120,10 @@
         return new FleetUpdate.FullState(items.build(), revision);
     }
 
-    private FleetUpdate changesAfter(long after) {
+    private FleetUpdate changesAfter(StoreRevision after) {
         ImmutableList.Builder<StoredItem> items = ImmutableList.builder();
         for (StoredItem item : changes.values()) {
-            if (item.revision() > after) {
+            if (item.revision().isAfter(after)) {
                 items.add(item);
             }
         }
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/StoredItem.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/StoredItem.java
@@ -8,4 +8,4 @@
  * @param revision the store's revision at which the item was written or deleted
  * @param value the value written; empty if the item was deleted
  */
-public record StoredItem(String key, long revision, Optional<String> value) {}
+public record StoredItem(String key, StoreRevision revision, Optional<String> value) {}
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/ViewFreshness.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/ViewFreshness.java
@@ -22,7 +22,7 @@
     private boolean overdueReported;
     private boolean oldReported;
     private long overdueWatches;
-    private long revision;
+    private StoreRevision revision = StoreRevision.NONE;
     private long readAtNanos;
 
     /**
@@ -59,10 +59,10 @@
     }
 
     /** Records that the content up to {@code readRevision} was read {@code age} ago. */
-    public void recordRead(long readRevision, Duration age) {
+    public void recordRead(StoreRevision readRevision, Duration age) {
         lock.lock();
         try {
-            revision = Math.max(revision, readRevision);
+            revision = laterRead(readRevision);
             readAtNanos = time.nanos() - age.toNanos();
             reportAge();
         } finally {
@@ -96,8 +96,8 @@
         return age().compareTo(maxAge) > 0;
     }
 
-    /** Returns the revision of the store up to which this daemon has read. */
-    public long revision() {
+    /** Returns the revision of the store up to which this daemon has read, in the latest era that it has read. */
+    public StoreRevision revision() {
         lock.lock();
         try {
             return revision;
@@ -116,6 +116,13 @@
         }
     }
 
+    private StoreRevision laterRead(StoreRevision readRevision) {
+        if (readRevision.era() == revision.era()) {
+            return StoreRevision.laterOf(revision, readRevision);
+        }
+        return readRevision.era() > revision.era() ? readRevision : revision;
+    }
+
     private Duration currentAge() {
         return Duration.ofNanos(time.nanos() - readAtNanos);
     }
@@ -127,8 +134,8 @@
         overdueReported = true;
         overdueWatches++;
         LOG.warnf(
-                "event=watch_overdue revision=%d age_ms=%d",
-                revision, currentAge().toMillis());
+                "event=watch_overdue era=%d revision=%d age_ms=%d",
+                revision.era(), revision.number(), currentAge().toMillis());
     }
 
     private void reportAge() {
@@ -139,9 +146,11 @@
         }
         oldReported = old;
         if (old) {
-            LOG.warnf("event=view_old revision=%d age_ms=%d", revision, age.toMillis());
+            LOG.warnf("event=view_old era=%d revision=%d age_ms=%d", revision.era(), revision.number(), age.toMillis());
         } else {
-            LOG.infof("event=view_current revision=%d age_ms=%d", revision, age.toMillis());
+            LOG.infof(
+                    "event=view_current era=%d revision=%d age_ms=%d",
+                    revision.era(), revision.number(), age.toMillis());
         }
     }
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
@@ -11,6 +11,7 @@
 import io.anvilpick.fleet.FleetUpdate;
 import io.anvilpick.fleet.RelayLog;
 import io.anvilpick.fleet.RelayedUpdate;
+import io.anvilpick.fleet.StoreRevision;
 import io.anvilpick.fleet.StoredItem;
 import io.anvilpick.fleet.ViewFreshness;
 import io.anvilpick.fleet.WatchTimes;
@@ -45,7 +46,6 @@
     private static final Duration RELAY_SKIP_TIME = Duration.ofMillis(1_500);
 
     private static final Logger LOG = Logger.getLogger(FleetFollower.class);
-    private static final long NOTHING_READ = -1;
 
     private final FleetStore store;
     private final FleetDecoder decoder;
@@ -56,7 +56,7 @@
     private final WatchTimes times;
     private final TimeSource time;
     private boolean following;
-    private long revision = NOTHING_READ;
+    private StoreRevision revision = StoreRevision.NONE;
     private Duration wait;
     private Duration pauseAfterFailure = INITIAL_PAUSE_AFTER_FAILURE;
     private Deadline relaySkipEnd;
@@ -124,7 +124,7 @@
 
     private boolean followRelay(EntryMember relay) throws InterruptedException {
         Optional<RelayedUpdate> relayed = relays.fetchUpdate(relay, revision);
-        if (relayed.isEmpty() || relayed.get().age().compareTo(times.maxRelayAge()) > 0) {
+        if (relayed.isEmpty() || !isUsable(relayed.get())) {
             return false;
         }
         apply(relayed.get());
@@ -134,9 +134,11 @@
 
     private Duration followStore() throws InterruptedException {
         try {
-            FleetStore.Freshness wanted =
-                    revision == NOTHING_READ ? FleetStore.Freshness.MAY_BE_STALE : FleetStore.Freshness.LATEST;
+            FleetStore.Freshness wanted = revision.equals(StoreRevision.NONE)
+                    ? FleetStore.Freshness.MAY_BE_STALE
+                    : FleetStore.Freshness.LATEST;
             FleetUpdate update = following ? awaitChanges() : store.readAll(wanted);
+            requireNoEarlierEra(update);
             state.onStoreAnswered();
             pauseAfterFailure = INITIAL_PAUSE_AFTER_FAILURE;
             recordSource("store");
@@ -151,6 +153,32 @@
         }
     }
 
+    /** Returns whether an update of a relay is current and neither of an earlier era nor, without the full state, of a later one. */
+    private boolean isUsable(RelayedUpdate relayed) {
+        if (relayed.age().compareTo(times.maxRelayAge()) > 0) {
+            return false;
+        }
+        return switch (relayed.update()) {
+            case FleetUpdate.FullState full -> full.revision().era() >= revision.era();
+            case FleetUpdate.Changes changes -> changes.revision().era() == revision.era();
+            case FleetUpdate.HistoryLost ignored -> false;
+        };
+    }
+
+    /** Refuses a late response. This daemon may have read the present era through a relay, unknown to its client of the store. */
+    private void requireNoEarlierEra(FleetUpdate update) throws PlatformException {
+        long era =
+                switch (update) {
+                    case FleetUpdate.FullState full -> full.revision().era();
+                    case FleetUpdate.Changes changes -> changes.revision().era();
+                    case FleetUpdate.HistoryLost ignored -> revision.era();
+                };
+        if (era < revision.era()) {
+            throw new PlatformException(
+                    PlatformException.Effect.NONE, "response of era " + era + " after era " + revision.era());
+        }
+    }
+
     private FleetUpdate awaitChanges() throws PlatformException {
         freshness.recordWatchStart(wait.plus(times.overdueMargin()));
         try {
@@ -175,7 +203,7 @@
         }
         EntryMember daemon = daemons.get(otherDaemonIndex % daemons.size());
         Optional<RelayedUpdate> relayed = relays.fetchUpdate(daemon, revision);
-        if (relayed.isEmpty() || relayed.get().age().compareTo(times.maxRelayAge()) > 0) {
+        if (relayed.isEmpty() || !isUsable(relayed.get())) {
             otherDaemonIndex = (otherDaemonIndex + 1) % daemons.size();
             return;
         }
@@ -185,7 +213,9 @@
 
     private void recordSource(String name) {
         if (!name.equals(source)) {
-            LOG.infof("event=source_changed from=%s to=%s revision=%d", source, name, revision);
+            LOG.infof(
+                    "event=source_changed from=%s to=%s era=%d revision=%d",
+                    source, name, revision.era(), revision.number());
             source = name;
         }
     }
@@ -194,6 +224,7 @@
         return switch (relayed.update()) {
             case FleetUpdate.FullState full -> {
                 Map<StoredItem, ImmutableList<FleetChange>> items = decodeAll(full.items());
+                state.onEra(full.revision().era());
                 state.replaceAll(Iterables.concat(items.values()));
                 log.replaceAll(items, full.revision(), relayed.age());
                 revision = full.revision();
@@ -201,22 +232,25 @@
                 following = true;
                 yield Duration.ZERO;
             }
+            case FleetUpdate.Changes changes when changes.revision().era() != revision.era() -> readEverythingNext();
             case FleetUpdate.Changes changes -> {
                 Map<StoredItem, ImmutableList<FleetChange>> items = decodeAll(changes.items());
                 state.apply(Iterables.concat(items.values()));
                 log.add(items, changes.revision(), relayed.age());
-                revision = Math.max(revision, changes.revision());
+                revision = StoreRevision.laterOf(revision, changes.revision());
                 freshness.recordRead(revision, relayed.age());
                 yield items.isEmpty() ? Duration.ZERO : times.pauseAfterChanges();
             }
-            case FleetUpdate.HistoryLost ignored -> {
-                LOG.infof("event=history_lost revision=%d", revision);
-                following = false;
-                yield Duration.ZERO;
-            }
+            case FleetUpdate.HistoryLost ignored -> readEverythingNext();
         };
     }
 
+    private Duration readEverythingNext() {
+        LOG.infof("event=history_lost era=%d revision=%d store_era=%d", revision.era(), revision.number(), store.era());
+        following = false;
+        return Duration.ZERO;
+    }
+
     /** Decodes the latest version of each item, in the order of the store. Earlier versions, which may be large, are skipped. */
     private Map<StoredItem, ImmutableList<FleetChange>> decodeAll(ImmutableList<StoredItem> items) {
         SequencedMap<String, StoredItem> latest = new LinkedHashMap<>();
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetRelays.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetRelays.java
@@ -6,6 +6,7 @@
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.fleet.RelayedUpdate;
+import io.anvilpick.fleet.StoreRevision;
 import io.anvilpick.messages.PeerReply;
 import io.anvilpick.messages.PeerTransport;
 import io.anvilpick.messages.StoreUpdateRequest;
@@ -60,7 +61,7 @@
     }
 
     /** Fetches the update after {@code revision} from {@code relay}; empty if it does not return one. Blocks. */
-    Optional<RelayedUpdate> fetchUpdate(EntryMember relay, long revision) throws InterruptedException {
+    Optional<RelayedUpdate> fetchUpdate(EntryMember relay, StoreRevision revision) throws InterruptedException {
         Deadline deadline = Deadline.after(time, ANSWER_TIMEOUT);
         try {
             PeerReply reply = peers.send(relay.peerAddress(), new StoreUpdateRequest(revision), deadline)
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/MemberRegistrar.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/MemberRegistrar.java
@@ -3,8 +3,10 @@
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetState;
 import io.anvilpick.fleet.FleetStore;
+import io.anvilpick.fleet.StoreLease;
 import io.anvilpick.platform.PlatformException;
 import java.time.Duration;
+import java.util.Optional;
 import org.jboss.logging.Logger;
 
 /**
@@ -20,12 +22,14 @@
     private static final Duration RENEW_INTERVAL = Duration.ofMillis(1_400);
 
     private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(700);
-    private static final long NO_LEASE = 0;
+
+    /** Time between two comparisons of the era of the lease with that of the store, which call nobody. */
+    private static final Duration ERA_CHECK_INTERVAL = Duration.ofMillis(200);
 
     private final FleetStore store;
     private final FleetState state;
     private final EntryMember self;
-    private long lease = NO_LEASE;
+    private Optional<StoreLease> lease = Optional.empty();
     private boolean registered;
     private boolean left;
 
@@ -52,38 +56,53 @@
         }
     }
 
+    /**
+     * Registers this daemon anew if the store has a later era than its lease, and returns the pause before the next call. Until then,
+     * daemons that start do not know this one.
+     */
+    public synchronized Duration checkEra() {
+        boolean outdated = lease.isPresent() && lease.get().era() < Math.max(store.era(), state.era());
+        return outdated ? step() : ERA_CHECK_INTERVAL;
+    }
+
     /** Removes the registration, after which callers are no longer sent here. If the store is unavailable, it lapses later. */
     public synchronized void leave() {
         left = true;
-        if (lease == NO_LEASE) {
+        if (lease.isEmpty()) {
             return;
         }
         try {
-            store.endLease(lease);
+            store.endLease(lease.get());
         } catch (PlatformException e) {
             LOG.warnf("event=leave_not_told reason=\"%s\" lapses_after_ms=%d", e.getMessage(), TIME_TO_LIVE.toMillis());
         }
     }
 
     private void renewOrRegister() throws PlatformException {
-        if (lease != NO_LEASE && !store.renewLease(lease)) {
-            LOG.warnf("event=lease_lapsed lease=%d", lease);
-            lease = NO_LEASE;
-        }
-        if (lease == NO_LEASE) {
-            lease = store.grantLease(TIME_TO_LIVE);
-            registered = false;
-        }
+        StoreLease current = validLease();
         boolean vanished = registered && !state.view().members().contains(self);
         if (registered && !vanished) {
             return;
         }
-        registered = store.register(self, lease);
+        registered = store.register(self, current);
         if (!registered) {
-            lease = NO_LEASE;
+            lease = Optional.empty();
         }
         LOG.infof(
-                "event=member_registered name=%s lease=%d vanished=%b done=%b",
-                self.name(), lease, vanished, registered);
+                "event=member_registered name=%s era=%d lease=%d vanished=%b done=%b",
+                self.name(), current.era(), current.number(), vanished, registered);
+    }
+
+    /** Renews the lease, or replaces it if it is not valid any more. */
+    private StoreLease validLease() throws PlatformException {
+        if (lease.isPresent() && store.renewLease(lease.get())) {
+            return lease.get();
+        }
+        lease.ifPresent(lapsed -> LOG.warnf("event=lease_lapsed era=%d lease=%d", lapsed.era(), lapsed.number()));
+        lease = Optional.empty();
+        registered = false;
+        StoreLease granted = store.grantLease(TIME_TO_LIVE);
+        lease = Optional.of(granted);
+        return granted;
     }
 }
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetSamples.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetSamples.java
@@ -55,6 +55,11 @@
                 new RequestLimits(1_000));
     }
 
+    /** Returns a revision of a store that states no era. */
+    public static StoreRevision revision(long number) {
+        return new StoreRevision(0, number);
+    }
+
     /** Returns a daemon in {@code zone} of region "r". */
     public static EntryMember member(String name, String zone) {
         return new EntryMember(name, name + ":80", name + ":81", "r", zone);
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/ViewFreshnessTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/ViewFreshnessTest.java
@@ -1,5 +1,6 @@
 package io.anvilpick.fleet;
 
+import static io.anvilpick.fleet.FleetSamples.revision;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.anvilpick.time.ManualTimeSource;
@@ -14,10 +15,21 @@
 
     @Test
     void ageIncludesTheAgeOfTheSource() {
-        freshness.recordRead(7, Duration.ofMillis(300));
+        freshness.recordRead(revision(7), Duration.ofMillis(300));
         time.advance(Duration.ofMillis(200));
         assertEquals(Duration.ofMillis(500), freshness.age());
-        assertEquals(7, freshness.revision());
+        assertEquals(revision(7), freshness.revision());
+    }
+
+    /** Guards against a revision that stays at the number of an era that is over. */
+    @Test
+    void revisionsCountWithinTheLatestEra() {
+        freshness.recordRead(new StoreRevision(1, 90), Duration.ZERO);
+        freshness.recordRead(new StoreRevision(2, 40), Duration.ZERO);
+        freshness.recordRead(new StoreRevision(2, 30), Duration.ZERO);
+        assertEquals(new StoreRevision(2, 40), freshness.revision());
+        freshness.recordRead(new StoreRevision(1, 95), Duration.ZERO);
+        assertEquals(new StoreRevision(2, 40), freshness.revision());
     }
 
     @Test
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FakePeers.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FakePeers.java
@@ -21,7 +21,7 @@
     @Override
     public CompletableFuture<PeerReply> send(String peerAddress, PeerRequest request, Deadline deadline) {
         StoreUpdateRequest storeUpdate = (StoreUpdateRequest) request;
-        requests.add(peerAddress + " " + storeUpdate.after());
+        requests.add(peerAddress + " " + storeUpdate.after().number());
         RelayLog log = logs.get(peerAddress);
         if (log == null) {
             return CompletableFuture.failedFuture(new PeerException("no answer", false));
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FakeStore.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FakeStore.java
@@ -1,11 +1,15 @@
 package io.anvilpick.fleet.sync;
 
+import static io.anvilpick.fleet.FleetSamples.revision;
+
 import com.google.common.collect.ImmutableList;
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetChange;
 import io.anvilpick.fleet.FleetDecoder;
 import io.anvilpick.fleet.FleetStore;
 import io.anvilpick.fleet.FleetUpdate;
+import io.anvilpick.fleet.StoreLease;
+import io.anvilpick.fleet.StoreRevision;
 import io.anvilpick.fleet.StoredItem;
 import io.anvilpick.platform.PlatformException;
 import java.time.Duration;
@@ -35,7 +39,7 @@
 
     /** Returns an item that decodes to {@code change}. */
     StoredItem item(String key, long revision, FleetChange change) {
-        StoredItem item = new StoredItem(key, revision, Optional.of(change.toString()));
+        StoredItem item = new StoredItem(key, revision(revision), Optional.of(change.toString()));
         changesByItem.put(item, change);
         return item;
     }
@@ -51,7 +55,7 @@
         if (error != null) {
             throw error;
         }
-        decodedRevisions.add(item.revision());
+        decodedRevisions.add(item.revision().number());
         FleetChange change = changesByItem.get(item);
         return change == null ? ImmutableList.of() : ImmutableList.of(change);
     }
@@ -66,43 +70,48 @@
     @Override
     public FleetUpdate.FullState readAll(Freshness freshness) throws PlatformException {
         call(freshness == Freshness.LATEST ? "readLatest" : "readAll");
-        return new FleetUpdate.FullState(items, 10);
+        return new FleetUpdate.FullState(items, revision(10));
     }
 
     @Override
-    public FleetUpdate awaitChanges(long revision, Duration wait) throws PlatformException {
+    public FleetUpdate awaitChanges(StoreRevision revision, Duration wait) throws PlatformException {
         waits.add(wait);
-        call("await " + revision);
+        call("await " + revision.number());
         FleetUpdate update = updates.poll();
         return update == null ? new FleetUpdate.Changes(ImmutableList.of(), revision) : update;
     }
 
+    @Override
+    public long era() {
+        return 0;
+    }
+
     @Override
     public void abortWaiting() {
         calls.add("abort");
     }
 
     @Override
-    public long grantLease(Duration timeToLive) throws PlatformException {
+    public StoreLease grantLease(Duration timeToLive) throws PlatformException {
         call("grant");
         leaseValid = true;
-        return nextLease++;
+        return new StoreLease(0, nextLease++);
     }
 
     @Override
-    public boolean renewLease(long lease) throws PlatformException {
-        call("renew " + lease);
+    public boolean renewLease(StoreLease lease) throws PlatformException {
+        call("renew " + lease.number());
         return leaseValid;
     }
 
     @Override
-    public void endLease(long lease) throws PlatformException {
-        call("end " + lease);
+    public void endLease(StoreLease lease) throws PlatformException {
+        call("end " + lease.number());
     }
 
     @Override
-    public boolean register(EntryMember member, long lease) throws PlatformException {
-        call("register " + lease);
+    public boolean register(EntryMember member, StoreLease lease) throws PlatformException {
+        call("register " + lease.number());
         return leaseValid;
     }
 }
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FleetSyncTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FleetSyncTest.java
@@ -1,6 +1,7 @@
 package io.anvilpick.fleet.sync;
 
 import static io.anvilpick.fleet.FleetSamples.member;
+import static io.anvilpick.fleet.FleetSamples.revision;
 import static io.anvilpick.fleet.FleetSamples.target;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -43,7 +44,8 @@
     void readsEverythingOnceAndThenAwaitsChanges() throws Exception {
         follower.step();
         store.updates.add(new FleetUpdate.Changes(
-                ImmutableList.of(store.item("a", 12, new FleetChange.TargetRegistered(target("a", "s", false)))), 12));
+                ImmutableList.of(store.item("a", 12, new FleetChange.TargetRegistered(target("a", "s", false)))),
+                revision(12)));
         follower.step();
         follower.step();
         assertEquals(List.of("readAll", "await 10", "await 12"), store.calls);
@@ -59,7 +61,7 @@
         store.updates.add(new FleetUpdate.Changes(
                 ImmutableList.of(
                         store.item("a", 12, registered), store.item("b", 13, removed), store.item("a", 14, registered)),
-                14));
+                revision(14)));
         follower.step();
         assertEquals(List.of(13L, 14L), store.decodedRevisions);
     }
@@ -78,7 +80,8 @@
     void readsEverythingAgainAfterAnErrorInAStep() throws Exception {
         follower.step();
         store.updates.add(new FleetUpdate.Changes(
-                ImmutableList.of(store.item("a", 12, new FleetChange.TargetRegistered(target("a", "s", false)))), 12));
+                ImmutableList.of(store.item("a", 12, new FleetChange.TargetRegistered(target("a", "s", false)))),
+                revision(12)));
         store.failDecodingOnce("a", new OutOfMemoryError("full"));
         assertThrows(OutOfMemoryError.class, follower::step);
         store.items = ImmutableList.of(store.item("a", 12, new FleetChange.TargetRegistered(target("a", "s", false))));
@@ -128,7 +131,8 @@
         follower.step();
         follower.step();
         store.updates.add(new FleetUpdate.Changes(
-                ImmutableList.of(store.item("a", 12, new FleetChange.TargetRegistered(target("a", "s", false)))), 12));
+                ImmutableList.of(store.item("a", 12, new FleetChange.TargetRegistered(target("a", "s", false)))),
+                revision(12)));
         Duration pause = follower.step();
         follower.step();
         assertTrue(store.waits.getFirst().compareTo(bound.dividedBy(2)) <= 0, () -> "waits " + store.waits);
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
@@ -1,6 +1,7 @@
 package io.anvilpick.fleet.sync;
 
 import static io.anvilpick.fleet.FleetSamples.member;
+import static io.anvilpick.fleet.FleetSamples.revision;
 import static io.anvilpick.fleet.FleetSamples.target;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -69,7 +70,7 @@
     }
 
     private void relayHasRead(long revision) {
-        relayLog.replaceAll(members(), revision, Duration.ZERO);
+        relayLog.replaceAll(members(), revision(revision), Duration.ZERO);
         peers.logs.put(RELAY.peerAddress(), relayLog);
     }
 
@@ -78,7 +79,7 @@
         registerMembers(SELF, RELAY, FAR);
         relayHasRead(20);
         follower.step();
-        relayLog.add(item("t", 21, REGISTERED), 21, Duration.ZERO);
+        relayLog.add(item("t", 21, REGISTERED), revision(21), Duration.ZERO);
         follower.step();
         assertEquals(List.of("a:81 -1", "a:81 20"), peers.requests);
         assertEquals(List.of(), store.calls);
@@ -127,7 +128,7 @@
             time.advance(TIMES.maxWait().plus(lateness));
             follower.step();
             assertEquals(List.of(), store.calls);
-            relayLog.add(ImmutableMap.of(), 20, Duration.ZERO);
+            relayLog.add(ImmutableMap.of(), revision(20), Duration.ZERO);
         }
     }
 
@@ -149,17 +150,21 @@
     void leaseRenewalDoesNotRefreshTheLogOfARelayThatFailsToFollow() throws Exception {
         follower.step();
         store.updates.add(
-                new FleetUpdate.Changes(item("t", 12, REGISTERED).keySet().asList(), 12));
+                new FleetUpdate.Changes(item("t", 12, REGISTERED).keySet().asList(), revision(12)));
         store.failDecodingOnce("t", new OutOfMemoryError("full"));
         assertThrows(OutOfMemoryError.class, follower::step);
         time.advance(Duration.ofSeconds(2));
         MemberRegistrar registrar = new MemberRegistrar(store, state, SELF);
         registrar.step();
-        assertEquals(Duration.ofSeconds(2), ownLog.updateAfter(10).orElseThrow().age());
+        assertEquals(
+                Duration.ofSeconds(2),
+                ownLog.updateAfter(revision(10)).orElseThrow().age());
         follower.step();
         time.advance(Duration.ofSeconds(2));
         registrar.step();
-        assertEquals(Duration.ofSeconds(2), ownLog.updateAfter(10).orElseThrow().age());
+        assertEquals(
+                Duration.ofSeconds(2),
+                ownLog.updateAfter(revision(10)).orElseThrow().age());
     }
 
     /** Guards against a relay that counts as current by its lease renewals while its watch gets no response (issue 36). */
@@ -183,17 +188,19 @@
     @Test
     void leaseRenewalOfADaemonWithARelayDoesNotRefreshItsLog() throws Exception {
         registerMembers(SELF, RELAY);
-        ownLog.replaceAll(ImmutableMap.of(), 20, Duration.ZERO);
+        ownLog.replaceAll(ImmutableMap.of(), revision(20), Duration.ZERO);
         time.advance(Duration.ofSeconds(2));
         new MemberRegistrar(store, state, SELF).step();
-        assertEquals(Duration.ofSeconds(2), ownLog.updateAfter(20).orElseThrow().age());
+        assertEquals(
+                Duration.ofSeconds(2),
+                ownLog.updateAfter(revision(20)).orElseThrow().age());
     }
 
     @Test
     void queriesTheOtherDaemonsInTurnWhileTheStoreIsUnavailable() throws Exception {
         registerMembers(SELF, member("c", "z"), FAR);
         store.unavailable = true;
-        relayLog.replaceAll(item("t", 7, REGISTERED), 20, Duration.ZERO);
+        relayLog.replaceAll(item("t", 7, REGISTERED), revision(20), Duration.ZERO);
         peers.logs.put(FAR.peerAddress(), relayLog);
         follower.step();
         assertTrue(state.view().targets().isEmpty());
@@ -216,55 +223,60 @@
 
     @Test
     void unchangedItemsAreNotRelayed() {
-        relayLog.replaceAll(item("t", 5, REGISTERED), 20, Duration.ZERO);
-        relayLog.add(item("t", 21, REGISTERED), 21, Duration.ZERO);
-        assertEquals(new FleetUpdate.Changes(ImmutableList.of(), 21), updateAfter(20));
+        relayLog.replaceAll(item("t", 5, REGISTERED), revision(20), Duration.ZERO);
+        relayLog.add(item("t", 21, REGISTERED), revision(21), Duration.ZERO);
+        assertEquals(new FleetUpdate.Changes(ImmutableList.of(), revision(21)), updateAfter(20));
         FleetChange leaving = new FleetChange.TargetRegistered(target("t", "s", true));
-        relayLog.add(item("t", 22, leaving), 22, Duration.ZERO);
-        assertEquals(new FleetUpdate.Changes(item("t", 22, leaving).keySet().asList(), 22), updateAfter(20));
-        assertEquals(new FleetUpdate.Changes(ImmutableList.of(), 22), updateAfter(22));
+        relayLog.add(item("t", 22, leaving), revision(22), Duration.ZERO);
+        assertEquals(new FleetUpdate.Changes(item("t", 22, leaving).keySet().asList(), revision(22)), updateAfter(20));
+        assertEquals(new FleetUpdate.Changes(ImmutableList.of(), revision(22)), updateAfter(22));
     }
 
     /** Guards against a heap full of old versions of a large configuration. */
     @Test
     void earlierVersionsOfAnItemAreNotKept() {
-        relayLog.replaceAll(item("t", 5, REGISTERED), 20, Duration.ZERO);
+        relayLog.replaceAll(item("t", 5, REGISTERED), revision(20), Duration.ZERO);
         ImmutableMap<StoredItem, ImmutableList<FleetChange>> last = item("c", 0, REGISTERED);
         for (int revision = 21; revision < 10_000; revision++) {
             last = item("c", revision, new FleetChange.TargetRemoved("t-" + revision));
-            relayLog.add(last, revision, Duration.ZERO);
+            relayLog.add(last, revision(revision), Duration.ZERO);
         }
-        assertEquals(new FleetUpdate.Changes(last.keySet().asList(), 9_999), updateAfter(20));
+        assertEquals(new FleetUpdate.Changes(last.keySet().asList(), revision(9_999)), updateAfter(20));
     }
 
     @Test
     void followerThatIsTooFarBehindGetsTheFullState() {
-        relayLog.replaceAll(item("t", 5, REGISTERED), 20, Duration.ZERO);
+        relayLog.replaceAll(item("t", 5, REGISTERED), revision(20), Duration.ZERO);
         FleetChange leaving = new FleetChange.TargetRegistered(target("t", "s", true));
-        relayLog.add(item("t", 22, leaving), 22, Duration.ZERO);
-        assertEquals(new FleetUpdate.FullState(item("t", 22, leaving).keySet().asList(), 22), updateAfter(19));
+        relayLog.add(item("t", 22, leaving), revision(22), Duration.ZERO);
+        assertEquals(
+                new FleetUpdate.FullState(item("t", 22, leaving).keySet().asList(), revision(22)), updateAfter(19));
     }
 
     @Test
     void deletionIsRelayedAndLeavesTheFullState() {
-        relayLog.replaceAll(item("t", 5, REGISTERED), 20, Duration.ZERO);
-        StoredItem deleted = new StoredItem("t", 23, Optional.empty());
-        relayLog.add(ImmutableMap.of(deleted, ImmutableList.of(new FleetChange.TargetRemoved("t"))), 23, Duration.ZERO);
-        assertEquals(new FleetUpdate.Changes(ImmutableList.of(deleted), 23), updateAfter(20));
-        assertEquals(new FleetUpdate.FullState(ImmutableList.of(), 23), updateAfter(-1));
+        relayLog.replaceAll(item("t", 5, REGISTERED), revision(20), Duration.ZERO);
+        StoredItem deleted = new StoredItem("t", revision(23), Optional.empty());
+        relayLog.add(
+                ImmutableMap.of(deleted, ImmutableList.of(new FleetChange.TargetRemoved("t"))),
+                revision(23),
+                Duration.ZERO);
+        assertEquals(new FleetUpdate.Changes(ImmutableList.of(deleted), revision(23)), updateAfter(20));
+        assertEquals(new FleetUpdate.FullState(ImmutableList.of(), revision(23)), updateAfter(-1));
     }
 
     @Test
     void ageIncludesTheAgeOfTheSource() {
-        assertFalse(relayLog.updateAfter(-1).isPresent());
-        relayLog.replaceAll(ImmutableMap.of(), 20, Duration.ofMillis(300));
+        assertFalse(relayLog.updateAfter(revision(-1)).isPresent());
+        relayLog.replaceAll(ImmutableMap.of(), revision(20), Duration.ofMillis(300));
         time.advance(Duration.ofMillis(200));
         assertEquals(
-                Duration.ofMillis(500), relayLog.updateAfter(20).orElseThrow().age());
+                Duration.ofMillis(500),
+                relayLog.updateAfter(revision(20)).orElseThrow().age());
         assertInstanceOf(FleetUpdate.Changes.class, updateAfter(20));
     }
 
     private FleetUpdate updateAfter(long revision) {
-        return relayLog.updateAfter(revision).orElseThrow().update();
+        return relayLog.updateAfter(revision(revision)).orElseThrow().update();
     }
 }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -180,7 +180,8 @@
         metrics.gauge("anvilpick_requests_in_flight", shutdown::inFlight);
         metrics.gauge("anvilpick_members_known", () -> state.view().members().size());
         metrics.gauge("anvilpick_view_age_ms", () -> freshness.age().toMillis());
-        metrics.gauge("anvilpick_store_revision", freshness::revision);
+        metrics.gauge("anvilpick_store_revision", () -> freshness.revision().number());
+        metrics.gauge("anvilpick_store_era", () -> freshness.revision().era());
         metrics.gauge("anvilpick_watches_overdue", freshness::overdueWatches);
         metrics.gauge(
                 "anvilpick_configuration_version",
@@ -207,6 +208,7 @@
                 "event=started name=%s zone=%s calls=%s metrics=%s",
                 initial.self().name(), initial.self().zone(), initial.callAddress(), initial.metricsAddress());
         startLoop("membership", registrar::step);
+        startLoop("era", registrar::checkEra);
         startLoop("expiry", () -> {
             state.expire();
             return EXPIRY_INTERVAL;
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/ClientConnection.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/ClientConnection.java
@@ -1,5 +1,7 @@
 package io.anvilpick.daemon.http;
 
+import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableListMultimap;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
 import io.netty.buffer.ByteBufUtil;
@@ -127,11 +129,17 @@
             close();
         }
         if (ended != null) {
-            ended.complete(
-                    new ServerReply.Answered(response.status().code(), ByteBufUtil.getBytes(response.content())));
+            ended.complete(new ServerReply.Answered(
+                    response.status().code(), headersOf(response), ByteBufUtil.getBytes(response.content())));
         }
     }
 
+    private static ImmutableListMultimap<String, String> headersOf(FullHttpResponse response) {
+        ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
+        response.headers().forEach(header -> headers.put(Ascii.toLowerCase(header.getKey()), header.getValue()));
+        return headers.build();
+    }
+
     private void fail(String reason) {
         endWith(new ServerReply.Lost(reason));
     }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/ServerReply.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/ServerReply.java
@@ -1,9 +1,15 @@
 package io.anvilpick.daemon.http;
 
+import com.google.common.collect.ImmutableListMultimap;
+
 /** The outcome of a call to a server. */
 public sealed interface ServerReply {
-    /** The complete response of the server. */
-    record Answered(int status, byte[] body) implements ServerReply {}
+    /**
+     * The complete response of the server.
+     *
+     * @param headers its headers, by name in lower case
+     */
+    record Answered(int status, ImmutableListMultimap<String, String> headers, byte[] body) implements ServerReply {}
 
     /** The server has not received the call. */
     record NotSent(String reason) implements ServerReply {}
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
@@ -11,6 +11,7 @@
 import io.anvilpick.entry.SharedBudget;
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetChange;
+import io.anvilpick.fleet.StoreRevision;
 import io.anvilpick.fleet.StoredItem;
 import io.anvilpick.routes.Backend;
 import io.anvilpick.routes.RequestLimits;
@@ -39,7 +40,7 @@
             "x-not-run",
             "x-leaving",
             new TenantHeaders("x-key", "x-tenant"));
-    private static final StoredItem ITEM = new StoredItem("c", 1, Optional.of("configuration"));
+    private static final StoredItem ITEM = new StoredItem("c", new StoreRevision(0, 1), Optional.of("configuration"));
     private static final int UNAVAILABLE = 503;
     private static final int NOT_FOUND = 404;
     private static final int CALL_PORT = 20_001;
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryPeersTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryPeersTest.java
@@ -11,6 +11,7 @@
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.fleet.RelayLog;
+import io.anvilpick.fleet.StoreRevision;
 import io.anvilpick.messages.CrashClearedRequest;
 import io.anvilpick.messages.CrashReportRequest;
 import io.anvilpick.messages.PeerException;
@@ -62,7 +63,7 @@
 
     @Test
     void rejectsStoreUpdateRequestsBeforeTheFirstRead() {
-        assertInstanceOf(PeerReply.Rejected.class, peers.handle(new StoreUpdateRequest(-1)));
+        assertInstanceOf(PeerReply.Rejected.class, peers.handle(new StoreUpdateRequest(StoreRevision.NONE)));
     }
 
     @Test
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/FixedStore.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/FixedStore.java
@@ -4,6 +4,8 @@
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetStore;
 import io.anvilpick.fleet.FleetUpdate;
+import io.anvilpick.fleet.StoreLease;
+import io.anvilpick.fleet.StoreRevision;
 import io.anvilpick.fleet.StoredItem;
 import io.anvilpick.platform.PlatformException;
 import java.time.Duration;
@@ -41,34 +43,39 @@
     @Override
     public FleetUpdate.FullState readAll(Freshness freshness) throws PlatformException {
         await(released);
-        return new FleetUpdate.FullState(ImmutableList.of(item), 1);
+        return new FleetUpdate.FullState(ImmutableList.of(item), new StoreRevision(0, 1));
     }
 
     @Override
-    public FleetUpdate awaitChanges(long revision, Duration wait) throws PlatformException {
+    public FleetUpdate awaitChanges(StoreRevision revision, Duration wait) throws PlatformException {
         isFollowed.countDown();
         await(never);
         return new FleetUpdate.HistoryLost();
     }
 
+    @Override
+    public long era() {
+        return 0;
+    }
+
     @Override
     public void abortWaiting() {}
 
     @Override
-    public long grantLease(Duration timeToLive) {
-        return 1;
+    public StoreLease grantLease(Duration timeToLive) {
+        return new StoreLease(0, 1);
     }
 
     @Override
-    public boolean renewLease(long lease) {
+    public boolean renewLease(StoreLease lease) {
         return true;
     }
 
     @Override
-    public void endLease(long lease) {}
+    public void endLease(StoreLease lease) {}
 
     @Override
-    public boolean register(EntryMember member, long lease) {
+    public boolean register(EntryMember member, StoreLease lease) {
         return true;
     }
 }
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/StopUnderLoadTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/StopUnderLoadTest.java
@@ -14,6 +14,7 @@
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetChange;
 import io.anvilpick.fleet.RegisteredTarget;
+import io.anvilpick.fleet.StoreRevision;
 import io.anvilpick.fleet.StoredItem;
 import io.anvilpick.routes.Backend;
 import io.anvilpick.routes.RequestLimits;
@@ -58,7 +59,8 @@
 
     private final int peerPort = NEXT_PEER_PORT.getAndIncrement();
     private final String address = Loopback.exclusiveAddress();
-    private final FixedStore store = new FixedStore(new StoredItem("c", 1, Optional.of("configuration")));
+    private final FixedStore store =
+            new FixedStore(new StoredItem("c", new StoreRevision(0, 1), Optional.of("configuration")));
     private final ScriptedServer silentTarget;
 
     StopUnderLoadTest() throws Exception {
--- a/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
@@ -83,8 +83,7 @@
                                 .setAtMillis(crash.report().atMillis()))
                         .build();
             case StoreUpdateRequest follow ->
-                envelope.setFollow(PeerProto.Follow.newBuilder().setAfter(follow.after()))
-                        .build();
+                envelope.setFollow(StoreUpdateCodec.encode(follow)).build();
             case AllowanceRequest allowance ->
                 envelope.setAllowance(PeerProto.Allowance.newBuilder()
                                 .setTenant(allowance.tenant())
@@ -177,7 +176,7 @@
                                 envelope.getCrash().getTarget(),
                                 envelope.getCrash().getAtMillis()));
                     case ACQUIT -> new CrashClearedRequest(envelope.getAcquit().getFingerprint());
-                    case FOLLOW -> new StoreUpdateRequest(envelope.getFollow().getAfter());
+                    case FOLLOW -> StoreUpdateCodec.decode(envelope.getFollow());
                     case ALLOWANCE ->
                         new AllowanceRequest(
                                 envelope.getAllowance().getTenant(),
--- a/anvilpick-peer/src/test/java/io/anvilpick/peer/EndlessBytesTest.java
+++ b/anvilpick-peer/src/test/java/io/anvilpick/peer/EndlessBytesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.anvilpick.fleet.StoreRevision;
 import io.anvilpick.messages.PeerException;
 import io.anvilpick.messages.PeerReply;
 import io.anvilpick.messages.StoreUpdateRequest;
@@ -73,7 +74,7 @@
                 PeerClient client = new PeerClient(loops, TIME)) {
             CompletableFuture<PeerReply> reply = client.send(
                     "127.0.0.1:" + server.getLocalPort(),
-                    new StoreUpdateRequest(1),
+                    new StoreUpdateRequest(new StoreRevision(0, 1)),
                     Deadline.after(TIME, Duration.ofSeconds(50)));
             try (Socket socket = server.accept()) {
                 writeUntilClosed(socket, beginning);
--- a/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
+++ b/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
@@ -21,6 +21,7 @@
 import io.anvilpick.crashes.CrashReport;
 import io.anvilpick.fleet.FleetUpdate;
 import io.anvilpick.fleet.RelayedUpdate;
+import io.anvilpick.fleet.StoreRevision;
 import io.anvilpick.fleet.StoredItem;
 import io.anvilpick.membership.LeavingList;
 import io.anvilpick.membership.Member;
@@ -65,7 +66,8 @@
             new ConfigPartsRequest(ImmutableSet.of("a", "b")),
             new CrashReportRequest(new CrashReport("print", "t:1", 5)),
             new CrashClearedRequest("print"),
-            new StoreUpdateRequest(-1));
+            new StoreUpdateRequest(StoreRevision.NONE),
+            new StoreUpdateRequest(new StoreRevision(2, 7)));
 
     private static final List<PeerReply> REPLIES = List.of(
             new PeerReply.Acknowledged(),
@@ -83,10 +85,14 @@
                     DIGEST),
             new PeerReply.ConfigParts(ImmutableMap.of("digest", "text")),
             new PeerReply.StoreUpdate(new RelayedUpdate(
-                    new FleetUpdate.FullState(ImmutableList.of(new StoredItem("a", 3, Optional.of("text"))), 4),
+                    new FleetUpdate.FullState(
+                            ImmutableList.of(new StoredItem("a", new StoreRevision(2, 3), Optional.of("text"))),
+                            new StoreRevision(2, 4)),
                     Duration.ofMillis(5))),
             new PeerReply.StoreUpdate(new RelayedUpdate(
-                    new FleetUpdate.Changes(ImmutableList.of(new StoredItem("a", 5, Optional.empty())), 6),
+                    new FleetUpdate.Changes(
+                            ImmutableList.of(new StoredItem("a", new StoreRevision(0, 5), Optional.empty())),
+                            new StoreRevision(0, 6)),
                     Duration.ZERO)),
             new PeerReply.Rejected("reason"));
 
