--- a/anvilpick-standins/src/main/java/io/anvilpick/standins/platform/PlatformStandIn.java
+++ b/anvilpick-standins/src/main/java/io/anvilpick/standins/platform/PlatformStandIn.java
@@ -20,7 +20,7 @@
 
 /**
  * Serves a {@link KeyValueStore} over HTTP in place of the platform's key-value service. The paths under {@code /admin}
- * set faults and the states of VMs, restore stored values, and return the call counts.
+ * set faults and the states of VMs, restore stored values, let the store return from an older copy, and return the call counts.
  */
 public final class PlatformStandIn {
     private static final int PERCENT = 100;
@@ -44,6 +44,8 @@
 
     private record RevisionBody(long revision) {}
 
+    private record EraBody(long era) {}
+
     private record LeaseBody(long lease) {}
 
     private record VmBody(String address, String state) {}
@@ -93,11 +95,12 @@
         builder.service("/v1/vms", (context, request) -> withFaults(RateLimit.READ, this::listVms));
         builder.service("/admin/faults", (context, request) -> setFaults(context));
         builder.service("/admin/vm", (context, request) -> setVm(context));
+        builder.service("/admin/go-back", (context, request) -> goBack(context));
         builder.service("/admin/counts", (context, request) -> answer(counts.totals()));
         builder.service(
                 "/admin/restore",
                 (context, request) -> HttpResponse.of(request.aggregate().thenApply(body -> {
-                    store.restore(parameter(context, "key"), body.contentUtf8());
+                    store.restore(parameter(context, "key"), body.contentUtf8(), System.currentTimeMillis());
                     return HttpResponse.of(HttpStatus.OK);
                 })));
     }
@@ -213,6 +216,11 @@
         return HttpResponse.of(HttpStatus.OK);
     }
 
+    private HttpResponse goBack(ServiceRequestContext context) {
+        long ageMillis = Long.parseLong(parameter(context, "age_ms"));
+        return answer(new EraBody(store.goBack(ageMillis, System.currentTimeMillis())));
+    }
+
     private HttpResponse entry(KeyValueStore.Row row) {
         return answer(new EntryBody(row.key(), row.value(), row.revision()));
     }
