One daemon of a region follows the store directly; a store that does not answer is called rarely

Change: where the bound on changes leaves time for two relays in a row (2.3 s and more), the first daemons of the other zones follow the first of the region. After a failed call, a daemon that another one supplies, or that has a relay, calls the store once in 1.5 s.

--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/WatchTimes.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/WatchTimes.java
@@ -31,6 +31,15 @@
 
     private static final Duration MAX_PAUSE = Duration.ofMillis(400);
 
+    /** Time between two queries of a daemon through which another one follows the store. */
+    public static final Duration RELAY_POLL_INTERVAL = Duration.ofMillis(250);
+
+    /** Usual time until a busy daemon or the store has answered. */
+    private static final Duration ANSWER_TIME = Duration.ofMillis(25);
+
+    /** Share of the bound within which a change must have arrived. The rest covers an answer that is late. */
+    private static final int ARRIVAL_PERCENT = 85;
+
     public WatchTimes {
         checkArgument(bound.compareTo(MIN_BOUND) >= 0, "bound must be at least %s: %s", MIN_BOUND, bound);
     }
@@ -72,6 +81,16 @@
         return percent(RELAY_AGE_PERCENT);
     }
 
+    /**
+     * Returns whether a change that is noticed late still arrives in time through two relays in a row: through one of the region and
+     * one of the zone. If so, one daemon of a region follows the store directly, instead of one daemon of each zone.
+     */
+    public boolean coversTwoRelays() {
+        Duration twoRelays = RELAY_POLL_INTERVAL.plus(ANSWER_TIME).multipliedBy(2);
+        Duration arrival = overdueAfter().plus(ANSWER_TIME).plus(twoRelays);
+        return arrival.compareTo(percent(ARRIVAL_PERCENT)) <= 0;
+    }
+
     private Duration percent(int percent) {
         return shorter(bound, MAX_BOUND).multipliedBy(percent).dividedBy(100);
     }
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
@@ -29,8 +29,10 @@
  * Follows the store, directly or through a relay, which is another daemon, and applies the updates to {@link FleetState}. Not
  * thread safe: one thread calls {@link #step} in a loop and pauses between calls for the time that it returns.
  *
- * <p>A relay is skipped for a while if it does not answer, or if the store has not answered it recently. While the store does not
- * answer this daemon, each step also queries another daemon. It queries the same one until that fails, and then the next one.
+ * <p>A relay is skipped for a while if it does not answer, and not followed while the store has not answered it recently. While the
+ * store does not answer this daemon, each step queries another daemon. It queries the same one until that fails, and then the next
+ * one. As long as that returns current content, or a relay is assigned that calls the store as well, this daemon calls the store
+ * rarely: failed calls have a price too.
  */
 public final class FleetFollower {
     /** Wait for changes in a call after a failure. A short call shows soon whether the store is available again. */
@@ -39,12 +41,12 @@
     private static final Duration INITIAL_PAUSE_AFTER_FAILURE = Duration.ofMillis(150);
     private static final Duration MAX_PAUSE_AFTER_FAILURE = Duration.ofMillis(600);
 
-    /** Time between two queries to a relay. */
-    private static final Duration RELAY_POLL_INTERVAL = Duration.ofMillis(250);
-
     /** Time for which a relay is skipped after a failure. */
     private static final Duration RELAY_SKIP_TIME = Duration.ofMillis(1_500);
 
+    /** Time for which the store is not called after a failure while another daemon returns current content or also calls it. */
+    private static final Duration STORE_SKIP_TIME = Duration.ofMillis(1_500);
+
     private static final Logger LOG = Logger.getLogger(FleetFollower.class);
 
     private final FleetStore store;
@@ -60,6 +62,7 @@
     private Duration wait;
     private Duration pauseAfterFailure = INITIAL_PAUSE_AFTER_FAILURE;
     private Deadline relaySkipEnd;
+    private Deadline storeSkipEnd;
     private String source = "none";
     private int otherDaemonIndex;
 
@@ -74,6 +77,7 @@
         this.wait = times.maxWait();
         this.time = parts.time();
         this.relaySkipEnd = Deadline.after(time, Duration.ZERO);
+        this.storeSkipEnd = relaySkipEnd;
     }
 
     /**
@@ -113,18 +117,23 @@
 
     private Duration follow() throws InterruptedException {
         Optional<EntryMember> relay = relays.assignedRelay();
-        if (relay.isPresent() && relaySkipEnd.hasPassed(time)) {
-            if (followRelay(relay.get())) {
-                return RELAY_POLL_INTERVAL;
-            }
-            relaySkipEnd = Deadline.after(time, RELAY_SKIP_TIME);
+        if (relay.isPresent() && relaySkipEnd.hasPassed(time) && followRelay(relay.get())) {
+            return WatchTimes.RELAY_POLL_INTERVAL;
+        }
+        if (!storeSkipEnd.hasPassed(time) && (queryOtherDaemon() || relay.isPresent())) {
+            return WatchTimes.RELAY_POLL_INTERVAL;
         }
-        return followStore();
+        return followStore(relay.isPresent());
     }
 
+    /** Applies the update of the relay and returns whether it is current. A relay that does not answer is skipped for a while. */
     private boolean followRelay(EntryMember relay) throws InterruptedException {
         Optional<RelayedUpdate> relayed = relays.fetchUpdate(relay, revision);
-        if (relayed.isEmpty() || !isUsable(relayed.get())) {
+        if (relayed.isEmpty()) {
+            relaySkipEnd = Deadline.after(time, RELAY_SKIP_TIME);
+            return false;
+        }
+        if (!isUsable(relayed.get())) {
             return false;
         }
         apply(relayed.get());
@@ -132,7 +141,12 @@
         return true;
     }
 
-    private Duration followStore() throws InterruptedException {
+    /**
+     * Reads the store or waits for its changes.
+     *
+     * @param hasRelay whether another daemon also tries, so that this one may call a store that does not answer rarely
+     */
+    private Duration followStore(boolean hasRelay) throws InterruptedException {
         try {
             FleetStore.Freshness wanted = revision.equals(StoreRevision.NONE)
                     ? FleetStore.Freshness.MAY_BE_STALE
@@ -148,8 +162,12 @@
         } catch (PlatformException e) {
             state.onStoreUnavailable(String.valueOf(e.getMessage()));
             wait = WAIT_AFTER_FAILURE;
-            queryOtherDaemon();
-            return nextPauseAfterFailure();
+            Duration pause = nextPauseAfterFailure();
+            boolean isSupplied = queryOtherDaemon();
+            if (isSupplied || hasRelay) {
+                storeSkipEnd = Deadline.after(time, STORE_SKIP_TIME);
+            }
+            return isSupplied ? WatchTimes.RELAY_POLL_INTERVAL : pause;
         }
     }
 
@@ -195,20 +213,24 @@
         return pause;
     }
 
-    /** Queries one of the other daemons. The store may answer that daemon although it does not answer this one. */
-    private void queryOtherDaemon() throws InterruptedException {
+    /**
+     * Queries one of the other daemons and returns whether its content is current. The store may answer that daemon although it does
+     * not answer this one.
+     */
+    private boolean queryOtherDaemon() throws InterruptedException {
         ImmutableList<EntryMember> daemons = relays.otherDaemons();
         if (daemons.isEmpty()) {
-            return;
+            return false;
         }
         EntryMember daemon = daemons.get(otherDaemonIndex % daemons.size());
         Optional<RelayedUpdate> relayed = relays.fetchUpdate(daemon, revision);
         if (relayed.isEmpty() || !isUsable(relayed.get())) {
             otherDaemonIndex = (otherDaemonIndex + 1) % daemons.size();
-            return;
+            return false;
         }
         apply(relayed.get());
         recordSource(daemon.name());
+        return true;
     }
 
     private void recordSource(String name) {
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetRelays.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetRelays.java
@@ -15,14 +15,17 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 
 /**
  * Fetches from other daemons what they have read from the store. Thread safe.
  *
- * <p>In each zone, the daemon whose name sorts first follows the store, and the other daemons follow that one. The number of
- * calls to the store therefore grows with the number of zones instead of the number of daemons.
+ * <p>In each zone, the other daemons follow the store through the one whose name sorts first. That one follows the store directly, or
+ * through the daemon whose name sorts first in the region, depending on {@link DirectReaders}. The number of calls to the store
+ * therefore does not grow with the number of daemons. Nobody follows a daemon whose name sorts later, so that there are no cycles
+ * even if the daemons know different members.
  */
 public final class FleetRelays {
     private static final Logger LOG = Logger.getLogger(FleetRelays.class);
@@ -34,9 +37,29 @@
     private final Supplier<FleetView> view;
     private final EntryMember self;
     private final TimeSource time;
+    private final DirectReaders directReaders;
 
-    /** Creates an instance for the daemon {@code self}. */
+    /** The daemons that follow the store directly while all relays work. */
+    public enum DirectReaders {
+        /** One daemon in each zone. */
+        ONE_PER_ZONE,
+        /** One daemon in each region, which costs fewer calls to the store and one more relay on the way of a change. */
+        ONE_PER_REGION
+    }
+
+    /** Creates an instance for the daemon {@code self}, where one daemon of each zone follows the store directly. */
     public FleetRelays(PeerTransport peers, Supplier<FleetView> view, EntryMember self, TimeSource time) {
+        this(peers, view, self, time, DirectReaders.ONE_PER_ZONE);
+    }
+
+    /** Creates an instance for the daemon {@code self}. */
+    public FleetRelays(
+            PeerTransport peers,
+            Supplier<FleetView> view,
+            EntryMember self,
+            TimeSource time,
+            DirectReaders directReaders) {
+        this.directReaders = directReaders;
         this.peers = peers;
         this.view = view;
         this.self = self;
@@ -45,10 +68,20 @@
 
     /** Returns the daemon through which this one follows the store; empty if it follows the store directly. */
     Optional<EntryMember> assignedRelay() {
-        Optional<EntryMember> first = view.get().members().stream()
-                .filter(member -> member.zone().equals(self.zone()))
-                .min(comparing(EntryMember::name));
-        return first.filter(member -> member.name().compareTo(self.name()) < 0);
+        Optional<EntryMember> ofZone = firstBefore(member -> member.zone().equals(self.zone()));
+        return switch (directReaders) {
+            case ONE_PER_ZONE -> ofZone;
+            case ONE_PER_REGION ->
+                ofZone.or(() -> firstBefore(member -> member.region().equals(self.region())));
+        };
+    }
+
+    /** Returns the daemon that sorts first among those that match; empty if it does not sort before this daemon. */
+    private Optional<EntryMember> firstBefore(Predicate<EntryMember> matching) {
+        return view.get().members().stream()
+                .filter(matching)
+                .min(comparing(EntryMember::name))
+                .filter(member -> member.name().compareTo(self.name()) < 0);
     }
 
     /** Returns the other daemons, those in this daemon's zone first. */
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -109,7 +109,10 @@
         CrashHistory crashes = new CrashHistory(time);
         this.peers =
                 new EntryPeers(new EntryPeers.Parts(peerClient, state::view, initial.self(), relayLog, crashes, time));
-        FleetRelays relays = new FleetRelays(peerClient, state::view, initial.self(), time);
+        FleetRelays.DirectReaders directReaders = initial.watchTimes().coversTwoRelays()
+                ? FleetRelays.DirectReaders.ONE_PER_REGION
+                : FleetRelays.DirectReaders.ONE_PER_ZONE;
+        FleetRelays relays = new FleetRelays(peerClient, state::view, initial.self(), time, directReaders);
         this.follower = FleetFollower.of(new FleetFollower.Parts(
                 store,
                 checkNotNull(builder.decoder, "decoder"),
