Evacuated zones get neither calls nor probes

The key op/evacuate/ZONE had no effect. It is decoded whatever its value, kept in FleetState beside the configuration, and passed to each dispatcher, whose TargetSet treats the targets of the zone as unavailable. If a service has no target elsewhere, its calls are refused at once with ZONES_EVACUATED. The check of a target after a lost connection is omitted in such zones.

--- a/anvilpick-core/src/main/java/io/anvilpick/calls/Sender.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/calls/Sender.java
@@ -152,13 +152,17 @@
                     yield Optional.empty();
                 }
                 throw new CallException(
-                        refused.kind(), "the call was not sent: " + refused.kind(), refused.retryAfter());
+                        refused.kind(), "the call was not sent: " + reasonOf(refused.kind()), refused.retryAfter());
             }
             case Admission.Waiting ignored ->
                 throw new IllegalStateException("a waiting call returned without a decision");
         };
     }
 
+    private static String reasonOf(ErrorKind kind) {
+        return kind == ErrorKind.ZONES_EVACUATED ? "all zones with targets of the service are evacuated" : kind.toString();
+    }
+
     /**
      * Returns whether the call may be sent again after {@code reply}. Only calls that did not run or that are
      * idempotent are sent again. After a rejection, a lost connection or a cut answer, a call is sent again only if no
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
@@ -95,6 +95,16 @@
         }
     }
 
+    /** Sets the zones whose targets get neither calls nor probes. Calls in flight there are not affected. */
+    public void setEvacuatedZones(Set<String> zones) {
+        lock.lock();
+        try {
+            targets.setEvacuatedZones(zones);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Sets the number of daemons, including this one, that may connect to the same targets. Each daemon keeps to its
      * share of the connections.
@@ -168,7 +178,7 @@
         lock.lock();
         try {
             long now = time.nanos();
-            Optional<ErrorKind> refusal = limits.refusalToSend(call, now);
+            Optional<ErrorKind> refusal = refusalToSend(call, now);
             if (refusal.isPresent()) {
                 return new Admission.Refused(refusal.get());
             }
@@ -201,7 +211,7 @@
         lock.lock();
         try {
             long now = time.nanos();
-            if (limits.refusalToSend(call, now).isEmpty() && !retries.tryWithdraw()) {
+            if (refusalToSend(call, now).isEmpty() && !retries.tryWithdraw()) {
                 return new Admission.Refused(ErrorKind.OVERLOADED);
             }
             return readmit(call, failed, now);
@@ -273,7 +283,9 @@
         lock.lock();
         try {
             long now = time.nanos();
-            return limits.refusalOfWaiting(call, targets.restNanos(now), now).filter(kind -> queue.remove(call));
+            return refusalOfEvacuation(now)
+                    .or(() -> limits.refusalOfWaiting(call, targets.restNanos(now), now))
+                    .filter(kind -> queue.remove(call));
         } finally {
             lock.unlock();
         }
@@ -360,8 +372,17 @@
         }
     }
 
+    /** Returns why {@code call} is not to be sent at once; empty if it may be sent. */
+    private Optional<ErrorKind> refusalToSend(Call call, long now) {
+        return limits.refusalToSend(call, now).or(() -> refusalOfEvacuation(now));
+    }
+
+    private Optional<ErrorKind> refusalOfEvacuation(long now) {
+        return targets.isEvacuated(now) ? Optional.of(ErrorKind.ZONES_EVACUATED) : Optional.empty();
+    }
+
     private Admission readmit(Call call, Set<String> failed, long now) {
-        Optional<ErrorKind> refusal = limits.refusalToSend(call, now);
+        Optional<ErrorKind> refusal = refusalToSend(call, now);
         if (refusal.isPresent()) {
             return new Admission.Refused(refusal.get());
         }
@@ -382,10 +403,11 @@
 
     private DispatchResult drain(long now) {
         long restNanos = targets.restNanos(now);
+        Optional<ErrorKind> evacuation = refusalOfEvacuation(now);
         return queue.drain(new CallQueue.DrainPolicy() {
             @Override
             public Optional<ErrorKind> refusalOf(Call call) {
-                return limits.refusalOfWaiting(call, restNanos, now);
+                return evacuation.or(() -> limits.refusalOfWaiting(call, restNanos, now));
             }
 
             @Override
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetSet.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetSet.java
@@ -29,6 +29,7 @@
     private final PacedBudget probeBudget;
     private final ServiceEstimates estimates = ServiceEstimates.create();
     private final Announcements announcements = new Announcements();
+    private final EvacuatedZones evacuatedZones = new EvacuatedZones();
     private Map<String, TargetState> targets = new LinkedHashMap<>();
     private Set<String> leavingAddresses = Set.of();
     private Map<String, TargetTraits> traits = Map.of();
@@ -112,6 +113,32 @@
         leavingAddresses = Set.copyOf(addresses);
     }
 
+    /** Sets the zones whose targets get neither calls nor probes. */
+    void setEvacuatedZones(Set<String> zones) {
+        evacuatedZones.replace(zones);
+    }
+
+    /** Returns whether all targets that are not leaving are in evacuated zones, and at least one is. */
+    boolean isEvacuated(long now) {
+        boolean evacuated = !evacuatedZones.isEmpty() && !hasTargetElsewhere(now);
+        if (service != null) {
+            evacuatedZones.recordRefusing(service.name(), evacuated);
+        }
+        return evacuated;
+    }
+
+    private boolean hasTargetElsewhere(long now) {
+        boolean anyEvacuated = false;
+        for (TargetState target : targets.values()) {
+            if (evacuatedZones.contains(target.config())) {
+                anyEvacuated = true;
+            } else if (!isLeaving(target, now)) {
+                return true;
+            }
+        }
+        return !anyEvacuated;
+    }
+
     @Nullable
     TargetState find(String id) {
         return targets.get(id);
@@ -148,7 +175,7 @@
     Room room(long now) {
         int slots = 0;
         for (TargetState target : targets.values()) {
-            slots += target.mayServe(now) && !isLeaving(target, now) ? target.limit() : 0;
+            slots += target.mayServe(now) && !isWithdrawn(target, now) ? target.limit() : 0;
         }
         return new Room(slots, restNanos(now));
     }
@@ -160,7 +187,7 @@
         }
         long shortest = Long.MAX_VALUE;
         for (TargetState target : targets.values()) {
-            if (!isLeaving(target, now)) {
+            if (!isWithdrawn(target, now)) {
                 shortest = Math.min(shortest, restEnd(target, now).remainingNanos(now));
             }
         }
@@ -262,7 +289,11 @@
 
     /** Returns whether the target gets neither calls nor probes, whatever the state of the others. */
     private boolean isUnavailable(TargetState target, long now) {
-        return isLeaving(target, now) || restEnd(target, now).remainingNanos(now) > 0;
+        return isWithdrawn(target, now) || restEnd(target, now).remainingNanos(now) > 0;
+    }
+
+    private boolean isWithdrawn(TargetState target, long now) {
+        return evacuatedZones.contains(target.config()) || isLeaving(target, now);
     }
 
     private boolean isLeaving(TargetState target, long now) {
@@ -277,9 +308,14 @@
      */
     boolean mayEjectMore() {
         int ejected = 0;
+        int counted = 0;
         for (TargetState target : targets.values()) {
+            if (evacuatedZones.contains(target.config())) {
+                continue;
+            }
+            counted++;
             ejected += target.isEjected() ? 1 : 0;
         }
-        return (ejected + 1) * PERCENT <= targets.size() * MAX_EJECTED_PERCENT;
+        return (ejected + 1) * PERCENT <= counted * MAX_EJECTED_PERCENT;
     }
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryCrashGuard.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryCrashGuard.java
@@ -12,6 +12,7 @@
 import io.anvilpick.time.TimeSource;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.jboss.logging.Logger;
 
 /**
@@ -26,6 +27,13 @@
     private final TargetClient targets;
     private final Consumer<CrashReport> broadcast;
     private final TimeSource time;
+    private final Predicate<TargetConfig> mayProbe;
+
+    /** Creates a guard that may probe all targets. */
+    public EntryCrashGuard(
+            CrashHistory history, TargetClient targets, Consumer<CrashReport> broadcast, TimeSource time) {
+        this(history, targets, broadcast, time, target -> true);
+    }
 
     /**
      * Creates a guard.
@@ -33,13 +41,19 @@
      * @param history the crash reports, including those of other daemons
      * @param targets checks whether a target still listens
      * @param broadcast sends a crash report to the other daemons; must not block
+     * @param mayProbe whether a target may be probed; a crash of one that may not is not detected
      */
     public EntryCrashGuard(
-            CrashHistory history, TargetClient targets, Consumer<CrashReport> broadcast, TimeSource time) {
+            CrashHistory history,
+            TargetClient targets,
+            Consumer<CrashReport> broadcast,
+            TimeSource time,
+            Predicate<TargetConfig> mayProbe) {
         this.history = history;
         this.targets = targets;
         this.broadcast = broadcast;
         this.time = time;
+        this.mayProbe = mayProbe;
     }
 
     @Override
@@ -53,6 +67,9 @@
     /** Returns a completed future: a request does not wait for the check whether its target crashed. */
     @Override
     public CompletableFuture<Void> onConnectionLost(TargetConfig target, CallRequest request) {
+        if (!mayProbe.test(target)) {
+            return CompletableFuture.completedFuture(null);
+        }
         CrashReport report = new CrashReport(request.fingerprint(), target.address(), time.epochMillis());
         targets.isListening(target).thenAccept(listening -> {
             if (!listening && history.add(report)) {
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
@@ -75,7 +75,7 @@
     }
 
     /**
-     * Applies the services, targets and number of daemons in {@code view}. Calls in flight and the measurements of the
+     * Applies the services, targets, evacuated zones and number of daemons in {@code view}. Calls in flight and the measurements of the
      * dispatchers are kept, and so are the dispatchers of services that are no longer configured: calls may still wait in them,
      * so they follow the targets too. Has no effect if {@code view} has no configuration.
      *
@@ -122,6 +122,7 @@
         applyBudget(row.budget());
         ServiceConfig service = serviceOf(name, connectionsPerTarget, targets);
         row.dispatcher().setDaemonCount(daemons);
+        row.dispatcher().setEvacuatedZones(view.evacuatedZones());
         if (!row.finished() || row.targets() != targets || !row.service().equals(service)) {
             row.dispatcher().configure(service, traitsOf(targets));
         }
--- a/anvilpick-core/src/main/java/io/anvilpick/error/AnswerTable.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/error/AnswerTable.java
@@ -39,7 +39,7 @@
             case KEY_OUTCOME_UNKNOWN, KEY_EXPIRED -> unknown(409, Resend.NEVER, 0);
             case CLAIM_UNAVAILABLE, NO_CONFIGURATION -> notRun(503, Resend.SAFE, LONG_WAIT_MILLIS);
             case NO_TARGET, TARGET_REFUSED, SHUTTING_DOWN -> notRun(503, Resend.SAFE, SHORT_WAIT_MILLIS);
-            case OVERLOADED -> notRun(503, Resend.SAFE, LONG_WAIT_MILLIS);
+            case OVERLOADED, ZONES_EVACUATED -> notRun(503, Resend.SAFE, LONG_WAIT_MILLIS);
             case DEADLINE_BEFORE_SEND -> notRun(504, Resend.SAFE, 0);
             case DEADLINE_AFTER_SEND -> unknown(504, Resend.SAME_KEY, LONG_WAIT_MILLIS);
             case CONNECTION_LOST, ANSWER_CUT -> unknown(502, Resend.SAME_KEY, SHORT_WAIT_MILLIS);
--- a/anvilpick-core/src/main/java/io/anvilpick/error/ErrorKind.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/error/ErrorKind.java
@@ -37,6 +37,8 @@
     NO_CONFIGURATION,
     /** No target of the service is known, or no connection to a target could be opened. */
     NO_TARGET,
+    /** All zones with targets of the service are evacuated. */
+    ZONES_EVACUATED,
     /** The call was shed before it was sent, because it would have missed its deadline or the daemon is at a limit. */
     OVERLOADED,
     /** The deadline passed before any byte was sent to a target. */
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetChange.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetChange.java
@@ -20,6 +20,12 @@
     /** A daemon's registration was deleted or has lapsed. */
     record MemberRemoved(String name) implements FleetChange {}
 
+    /** A zone is evacuated: its targets get nothing new. */
+    record ZoneEvacuated(String zone) implements FleetChange {}
+
+    /** A zone is no longer evacuated. */
+    record ZoneReturned(String zone) implements FleetChange {}
+
     /**
      * An item cannot be decoded, for {@code reason}.
      *
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -48,6 +48,7 @@
     private final Consumer<FleetView> listener;
     private final Registrations<RegisteredTarget> targets = new Registrations<>("target", RegisteredTarget::service);
     private final Registrations<EntryMember> members = new Registrations<>("member", EntryMember::region);
+    private final ZoneEvacuations evacuations = new ZoneEvacuations();
     private final UnreadableItems unreadable = new UnreadableItems();
     private @Nullable RouteConfiguration configuration;
     private boolean storeUnavailable;
@@ -136,13 +137,14 @@
         }
     }
 
-    /** Applies all entries of the store. Registrations that are not among them count as removed. */
+    /** Applies all entries of the store. Registrations and evacuations that are not among them count as removed. */
     public void replaceAll(Iterable<FleetChange> entries) {
         lock.lock();
         try {
             changed = true;
             Set<String> registeredTargets = new HashSet<>();
             Set<String> registeredMembers = new HashSet<>();
+            Set<String> evacuatedZones = new HashSet<>();
             for (FleetChange entry : entries) {
                 apply(entry);
                 switch (entry) {
@@ -150,6 +152,7 @@
                         registeredTargets.add(registered.target().id());
                     case FleetChange.MemberRegistered registered ->
                         registeredMembers.add(registered.member().name());
+                    case FleetChange.ZoneEvacuated evacuated -> evacuatedZones.add(evacuated.zone());
                     default -> {
                         // Other changes register nothing.
                     }
@@ -157,6 +160,7 @@
             }
             targets.retainAll(registeredTargets);
             members.retainAll(registeredMembers);
+            evacuations.retainAll(evacuatedZones);
             dropLapsed();
             publish();
         } finally {
@@ -193,6 +197,8 @@
                 unreadable.remove(new FleetChange.Subject.Member(member.name()));
             }
             case FleetChange.MemberRemoved removed -> members.remove(removed.name());
+            case FleetChange.ZoneEvacuated evacuated -> evacuations.add(evacuated.zone());
+            case FleetChange.ZoneReturned returned -> evacuations.remove(returned.zone());
             case FleetChange.Unreadable item ->
                 unreadable.add(item, configuration == null ? 0 : configuration.version());
         }
@@ -254,7 +260,7 @@
             lists.put(service, before != null && before.equals(list) ? before : list);
         });
         return new FleetView(
-                Optional.ofNullable(configuration), lists.buildOrThrow(), ImmutableList.copyOf(members.all()));
+                Optional.ofNullable(configuration), lists.buildOrThrow(), ImmutableList.copyOf(members.all()), evacuations.zones());
     }
 
     /** Registrations of one kind, including lapsed ones whose owners may register again. */
