--- a/anvilpick-core/src/main/java/io/anvilpick/calls/Sender.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/calls/Sender.java
@@ -160,7 +160,9 @@
     }
 
     private static String reasonOf(ErrorKind kind) {
-        return kind == ErrorKind.ZONES_EVACUATED ? "all zones with targets of the service are evacuated" : kind.toString();
+        return kind == ErrorKind.ZONES_EVACUATED
+                ? "all zones with targets of the service are evacuated"
+                : kind.toString();
     }
 
     /**
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -260,7 +260,10 @@
             lists.put(service, before != null && before.equals(list) ? before : list);
         });
         return new FleetView(
-                Optional.ofNullable(configuration), lists.buildOrThrow(), ImmutableList.copyOf(members.all()), evacuations.zones());
+                Optional.ofNullable(configuration),
+                lists.buildOrThrow(),
+                ImmutableList.copyOf(members.all()),
+                evacuations.zones());
     }
 
     /** Registrations of one kind, including lapsed ones whose owners may register again. */
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/ZoneEvacuations.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/ZoneEvacuations.java
@@ -25,7 +25,9 @@
 
     /** Removes the zones that are not in {@code listed}. */
     void retainAll(Set<String> listed) {
-        ImmutableSet.copyOf(zones).stream().filter(zone -> !listed.contains(zone)).forEach(this::remove);
+        ImmutableSet.copyOf(zones).stream()
+                .filter(zone -> !listed.contains(zone))
+                .forEach(this::remove);
     }
 
     ImmutableSet<String> zones() {
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
@@ -10,6 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.anvilpick.time.ManualTimeSource;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -49,6 +50,39 @@
         assertEquals(List.of("c"), ids());
     }
 
+    /** Guards against a daemon that restarts during an evacuation and serves before it knows of it. */
+    @Test
+    void evacuatedZonesAreInTheFirstViewThatHasAConfiguration() {
+        List<FleetView> views = new ArrayList<>();
+        FleetState restarted = new FleetState(time, views::add);
+        restarted.replaceAll(List.of(
+                new FleetChange.ConfigurationWritten(configuration(1)),
+                new FleetChange.TargetRegistered(target("a", "s", false)),
+                new FleetChange.ZoneEvacuated("z")));
+        assertEquals(1, views.size());
+        assertEquals(ImmutableSet.of("z"), views.getFirst().evacuatedZones());
+    }
+
+    @Test
+    void zoneReturnsWithTheDeletionOrWithAFullReadWithoutIt() {
+        state.apply(List.of(new FleetChange.ZoneEvacuated("y"), new FleetChange.ZoneEvacuated("z")));
+        state.apply(List.of(new FleetChange.ZoneReturned("y")));
+        assertEquals(ImmutableSet.of("z"), state.view().evacuatedZones());
+        state.replaceAll(List.of(new FleetChange.ZoneEvacuated("z")));
+        assertEquals(ImmutableSet.of("z"), state.view().evacuatedZones());
+        state.replaceAll(List.of());
+        assertEquals(ImmutableSet.of(), state.view().evacuatedZones());
+    }
+
+    @Test
+    void evacuationStaysWhileTheStoreIsUnavailable() {
+        state.apply(List.of(new FleetChange.ZoneEvacuated("z")));
+        state.onStoreUnavailable("no answer");
+        time.advance(Duration.ofMinutes(10));
+        state.expire();
+        assertEquals(ImmutableSet.of("z"), state.view().evacuatedZones());
+    }
+
     @Test
     void registrationsThatLapseDuringAnOutageAreKeptForTheGracePeriod() {
         registerTargets("a", "b");
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FakeStore.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FakeStore.java
@@ -40,6 +40,13 @@
         return item;
     }
 
+    /** Returns a deletion that decodes to {@code change}. */
+    StoredItem deletion(String key, long revision, FleetChange change) {
+        StoredItem item = new StoredItem(key, revision, Optional.empty());
+        changesByItem.put(item, change);
+        return item;
+    }
+
     /** Makes the next {@link #decode} of an item with {@code key} throw {@code error}. */
     void failDecodingOnce(String key, Error error) {
         decodingErrors.put(key, error);
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
@@ -11,6 +11,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetChange;
 import io.anvilpick.fleet.FleetState;
@@ -254,6 +255,23 @@
         assertEquals(new FleetUpdate.FullState(ImmutableList.of(), 23), updateAfter(-1));
     }
 
+    /** Guards against an evacuation, or its end, that reaches only the daemons that read the store themselves. */
+    @Test
+    void followerLearnsOfAnEvacuationAndItsEnd() throws Exception {
+        registerMembers(SELF, RELAY);
+        relayHasRead(20);
+        follower.step();
+        relayLog.add(item("e", 21, new FleetChange.ZoneEvacuated("y")), 21, Duration.ZERO);
+        follower.step();
+        assertEquals(ImmutableSet.of("y"), state.view().evacuatedZones());
+        relayLog.add(item("e", 22, new FleetChange.ZoneEvacuated("y")), 22, Duration.ZERO);
+        assertEquals(new FleetUpdate.Changes(ImmutableList.of(), 22), updateAfter(21));
+        StoredItem deleted = store.deletion("e", 23, new FleetChange.ZoneReturned("y"));
+        relayLog.add(ImmutableMap.of(deleted, ImmutableList.of(new FleetChange.ZoneReturned("y"))), 23, Duration.ZERO);
+        follower.step();
+        assertEquals(ImmutableSet.of(), state.view().evacuatedZones());
+    }
+
     @Test
     void ageIncludesTheAgeOfTheSource() {
         assertFalse(relayLog.updateAfter(-1).isPresent());
