Calls to cold targets come from their owner only

Each daemon sent to a cold target as to any other, at most with a longer expected answer. Where a service has a ColdStart, ColdTargets now tells which targets are cold and lets only the owner send to them, at the limited rate, while no warm target has room.

--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
@@ -99,7 +99,17 @@
     public void setEvacuatedZones(Set<String> zones) {
         lock.lock();
         try {
-            targets.setEvacuatedZones(zones);
+            targets.setEvacuatedZones(zones, time.nanos());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Sets what may be sent to cold targets; empty if that is not limited. */
+    public void setColdTargetRules(Optional<ColdTargetRules> rules) {
+        lock.lock();
+        try {
+            targets.setColdTargetRules(rules, time.nanos());
         } finally {
             lock.unlock();
         }
@@ -123,7 +133,7 @@
 
     /** Records the load that a target reported in reply to a probe. */
     public void recordLoadReport(String targetId, LoadReport report) {
-        update(targetId, (state, now) -> state.onProbe(now, report));
+        update(targetId, (state, now) -> targets.recordLoadReport(state, report, now));
     }
 
     /** Records that a target replied to a load probe without reporting its load. */
@@ -284,7 +294,7 @@
         try {
             long now = time.nanos();
             return refusalOfEvacuation(now)
-                    .or(() -> limits.refusalOfWaiting(call, targets.restNanos(now), now))
+                    .or(() -> limits.refusalOfWaiting(call, targets.waitNanos(now), now))
                     .filter(kind -> queue.remove(call));
         } finally {
             lock.unlock();
@@ -395,14 +405,16 @@
         double ahead = queue.callsAhead(call.tenant(), weight);
         Optional<ErrorKind> refusal = limits.refusalToWait(call, ahead, targets.room(now), now);
         if (refusal.isPresent()) {
-            return new Admission.Refused(refusal.get(), limits.retryAfter(call, targets.room(now), now));
+            // Only a rest that the targets have asked for delays the caller's return. Another daemon may own a cold target.
+            Room resting = new Room(targets.room(now).slots(), targets.restNanos(now));
+            return new Admission.Refused(refusal.get(), limits.retryAfter(call, resting, now));
         }
         queue.add(call, weight, failed);
         return new Admission.Waiting();
     }
 
     private DispatchResult drain(long now) {
-        long restNanos = targets.restNanos(now);
+        long restNanos = targets.waitNanos(now);
         Optional<ErrorKind> evacuation = refusalOfEvacuation(now);
         return queue.drain(new CallQueue.DrainPolicy() {
             @Override
@@ -443,6 +455,7 @@
                 target.expectedSlowdown(now, baselineNanos),
                 target.occupancy(now));
         target.start(assignment, baselineNanos);
+        targets.recordAssigned(target, now);
         return assignment;
     }
 
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetSet.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetSet.java
@@ -10,7 +10,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.jspecify.annotations.Nullable;
 
 /** The targets of one service, and the choice of those eligible for a call. Guarded by the dispatcher's lock. */
@@ -30,6 +32,7 @@
     private final ServiceEstimates estimates = ServiceEstimates.create();
     private final Announcements announcements = new Announcements();
     private final EvacuatedZones evacuatedZones = new EvacuatedZones();
+    private final ColdTargets coldTargets = new ColdTargets();
     private Map<String, TargetState> targets = new LinkedHashMap<>();
     private Set<String> leavingAddresses = Set.of();
     private Map<String, TargetTraits> traits = Map.of();
@@ -58,6 +61,7 @@
         }
         targets = next;
         announcements.retain(next.keySet(), now);
+        coldTargets.register(next, now);
         service = changed;
         probeBudget.resize(changed.measuringPerMille(), (double) changed.slotsPerTarget() * next.size());
     }
@@ -114,8 +118,29 @@
     }
 
     /** Sets the zones whose targets get neither calls nor probes. */
-    void setEvacuatedZones(Set<String> zones) {
-        evacuatedZones.replace(zones);
+    void setEvacuatedZones(Set<String> zones, long now) {
+        Set<String> returned = evacuatedZones.replace(zones);
+        for (TargetState target : targets.values()) {
+            if (returned.contains(target.config().zone())) {
+                coldTargets.onZoneReturned(target, now);
+            }
+        }
+    }
+
+    /** Sets what may be sent to cold targets; empty if that is not limited. */
+    void setColdTargetRules(Optional<ColdTargetRules> rules, long now) {
+        coldTargets.setRules(rules, targets, now);
+    }
+
+    /** Records the load that a target reported in reply to a probe. */
+    void recordLoadReport(TargetState target, LoadReport report, long now) {
+        target.onProbe(now, report);
+        report.warmAt().ifPresent(warmAt -> coldTargets.onReport(target, warmAt));
+    }
+
+    /** Records that a call was assigned to {@code target}. */
+    void recordAssigned(TargetState target, long now) {
+        coldTargets.onAssigned(target, now);
     }
 
     /** Returns whether all targets that are not leaving are in evacuated zones, and at least one is. */
@@ -175,20 +200,31 @@
     Room room(long now) {
         int slots = 0;
         for (TargetState target : targets.values()) {
-            slots += target.mayServe(now) && !isWithdrawn(target, now) ? target.limit() : 0;
+            boolean serves = target.mayServe(now) && !isWithdrawn(target, now) && !coldTargets.isCold(target, now);
+            slots += serves ? target.limit() : 0;
         }
-        return new Room(slots, restNanos(now));
+        return new Room(slots, waitNanos(now));
     }
 
     /** Returns the nanoseconds until a target may be sent a call, because all of them rest; zero if one does not. */
     long restNanos(long now) {
-        if (announcements.isEmpty()) {
+        return announcements.isEmpty() ? 0 : shortestWait(target -> restEnd(target, now).remainingNanos(now), now);
+    }
+
+    /** Returns the nanoseconds until this daemon may send a call to a target, because all of them rest or are cold. */
+    long waitNanos(long now) {
+        if (announcements.isEmpty() && coldTargets.isEmpty()) {
             return 0;
         }
+        return shortestWait(
+                target -> Math.max(restEnd(target, now).remainingNanos(now), coldTargets.waitNanos(target, now)), now);
+    }
+
+    private long shortestWait(ToLongFunction<TargetState> waitNanos, long now) {
         long shortest = Long.MAX_VALUE;
         for (TargetState target : targets.values()) {
             if (!isWithdrawn(target, now)) {
-                shortest = Math.min(shortest, restEnd(target, now).remainingNanos(now));
+                shortest = Math.min(shortest, waitNanos.applyAsLong(target));
             }
         }
         return shortest == Long.MAX_VALUE ? 0 : shortest;
@@ -214,20 +250,26 @@
     /**
      * Picks a target, or returns null if the call should wait. If the policy tests recovery with calls, an ejected
      * target receives a trial call, but only as often as the probe budget allows. If all targets that are neither
-     * excluded nor unavailable are ejected, the choice is made among them.
+     * excluded nor unavailable are ejected, the choice is made among them. A cold target is picked only if no warm one has room.
      */
     @Nullable
     TargetState pick(TargetPicker.PickRequest request, Set<String> excluded) {
         long now = request.nowNanos();
         List<TargetState> serving = new ArrayList<>(targets.size());
+        List<TargetState> cold = new ArrayList<>();
         List<TargetState> ejected = new ArrayList<>();
+        boolean anyServing = false;
         TargetState trial = null;
         for (TargetState target : targets.values()) {
             if (excluded.contains(target.config().id()) || isUnavailable(target, now)) {
                 continue;
             }
+            anyServing |= !target.isEjected();
+            if (!coldTargets.maySend(target, now)) {
+                continue;
+            }
             if (!target.isEjected()) {
-                serving.add(target);
+                (coldTargets.isCold(target, now) ? cold : serving).add(target);
                 continue;
             }
             ejected.add(target);
@@ -238,7 +280,17 @@
         if (trial != null && probeBudget.trySpend(TRIAL_COST_NANOS)) {
             return trial;
         }
-        return picker.pick(serving.isEmpty() ? ejected : serving, request);
+        TargetState picked = picker.pick(anyServing ? serving : ejected, request);
+        return picked == null && !hasRoom(serving, now) ? picker.pick(cold, request) : picked;
+    }
+
+    private static boolean hasRoom(List<TargetState> candidates, long now) {
+        for (TargetState target : candidates) {
+            if (target.hasRoom(now)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
@@ -252,7 +304,8 @@
 
     private boolean servesBesides(Set<String> excluded, long now) {
         for (TargetState target : targets.values()) {
-            if (!excluded.contains(target.config().id()) && !isUnavailable(target, now) && target.mayServe(now)) {
+            boolean mayReceive = !isUnavailable(target, now) && coldTargets.maySend(target, now);
+            if (!excluded.contains(target.config().id()) && mayReceive && target.mayServe(now)) {
                 return true;
             }
         }
@@ -260,31 +313,37 @@
     }
 
     /**
-     * Returns the targets to probe before a call is sent, plus an ejected target whose recovery is due for a test, if
-     * any.
+     * Returns the targets to probe before a call is sent, plus an ejected target whose recovery is due for a test and a cold
+     * target that may have become warm, if any.
      */
     ImmutableList<TargetConfig> targetsToProbe(TargetPicker.PickRequest request, Set<String> excluded, int maxTargets) {
         List<TargetState> candidates = new ArrayList<>(targets.size());
+        long now = request.nowNanos();
         TargetState recovering = null;
+        TargetState checked = null;
         for (TargetState target : targets.values()) {
-            if (excluded.contains(target.config().id()) || isUnavailable(target, request.nowNanos())) {
+            if (excluded.contains(target.config().id()) || isUnavailable(target, now)) {
                 continue;
             }
-            if (!target.isEjected()) {
+            if (target.isEjected()) {
+                recovering = target.mayServe(now) ? target : recovering;
+            } else if (!coldTargets.isCold(target, now)) {
                 candidates.add(target);
-            } else if (target.mayServe(request.nowNanos())) {
-                recovering = target;
+            } else if (coldTargets.isCheckDue(target, now)) {
+                checked = target;
             }
         }
-        ImmutableList<TargetConfig> promising = picker.targetsToProbe(candidates, request, maxTargets);
-        if (recovering == null || policy.testsRecoveryWithCalls()) {
-            return promising;
+        ImmutableList.Builder<TargetConfig> probed = ImmutableList.builder();
+        probed.addAll(picker.targetsToProbe(candidates, request, maxTargets));
+        if (recovering != null && !policy.testsRecoveryWithCalls()) {
+            recovering.onRecoveryProbe(now);
+            probed.add(recovering.config());
+        }
+        if (checked != null && !policy.testsRecoveryWithCalls()) {
+            coldTargets.onCheck(checked, now);
+            probed.add(checked.config());
         }
-        recovering.onRecoveryProbe(request.nowNanos());
-        return ImmutableList.<TargetConfig>builder()
-                .addAll(promising)
-                .add(recovering.config())
-                .build();
+        return probed.build();
     }
 
     /** Returns whether the target gets neither calls nor probes, whatever the state of the others. */
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetState.java
@@ -101,6 +101,11 @@
         return bornMillis;
     }
 
+    /** Returns the time from which the target is warm, by its registration. */
+    Deadline warmAt() {
+        return warmAt;
+    }
+
     /** Returns a state for a changed configuration of the same target, with the observations of this state. */
     TargetState reconfigured(TargetConfig changed, int changedSlots, long nowNanos) {
         TargetTraits traits = new TargetTraits(changedSlots, warmAt, bornMillis);
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
@@ -5,13 +5,16 @@
 import com.google.common.collect.ImmutableMap;
 import io.anvilpick.config.ServiceConfig;
 import io.anvilpick.config.TargetConfig;
+import io.anvilpick.dispatch.ColdTargetRules;
 import io.anvilpick.dispatch.DispatchResult;
 import io.anvilpick.dispatch.Dispatcher;
 import io.anvilpick.dispatch.TargetPolicy;
 import io.anvilpick.dispatch.TargetTraits;
+import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.fleet.RegisteredTarget;
 import io.anvilpick.limits.WindowBudget;
+import io.anvilpick.routes.ColdStart;
 import io.anvilpick.routes.RouteConfiguration.ServiceSettings;
 import io.anvilpick.shard.Shards;
 import io.anvilpick.time.Deadline;
@@ -36,6 +39,9 @@
 public final class EntryDispatchers {
     private static final int SHARDS = 16;
 
+    /** The name of a daemon that is not among the members. */
+    private static final String UNREGISTERED = "";
+
     /** Part of the ratio that is used. The rest covers requests that another daemon counted before it was restarted. */
     private static final double USED_RATIO_FRACTION = 0.85;
 
@@ -46,6 +52,7 @@
     private final TimeSource time;
     private final Supplier<RandomGenerator> random;
     private final String zone;
+    private final String name;
     private volatile SharedBudget budget;
     private volatile int daemons = 1;
     private volatile @Nullable Deadline end;
@@ -60,14 +67,25 @@
             WindowBudget budget,
             ImmutableList<RegisteredTarget> targets,
             ServiceConfig service,
+            ColdStarts coldStarts,
             boolean finished) {
         private Row unfinished() {
-            return new Row(dispatcher, budget, targets, service, false);
+            return new Row(dispatcher, budget, targets, service, coldStarts, false);
         }
     }
 
-    /** Creates an empty set of dispatchers for a daemon in {@code zone}. */
+    /** What determines the rules for cold targets, besides the targets. */
+    private record ColdStarts(Optional<ColdStart> limit, ImmutableList<EntryMember> members) {}
+
+    /** Creates an empty set of dispatchers for a daemon in {@code zone} that owns no cold targets. */
     public EntryDispatchers(TimeSource time, Supplier<RandomGenerator> random, SharedBudget budget, String zone) {
+        this(time, random, budget, zone, UNREGISTERED);
+    }
+
+    /** Creates an empty set of dispatchers for the daemon {@code name} in {@code zone}. */
+    public EntryDispatchers(
+            TimeSource time, Supplier<RandomGenerator> random, SharedBudget budget, String zone, String name) {
+        this.name = name;
         this.time = time;
         this.random = random;
         this.budget = budget;
@@ -91,9 +109,9 @@
                 new LinkedHashSet<>(view.configuration().get().services().keySet());
         rows.forEach(shard -> names.addAll(shard.keySet()));
         List<Throwable> errors = new ArrayList<>();
-        for (String name : names) {
+        for (String service : names) {
             try {
-                update(name, view);
+                update(service, view);
             } catch (RuntimeException | Error e) {
                 errors.add(e);
             }
@@ -105,28 +123,43 @@
         }
     }
 
-    private void update(String name, FleetView view) {
-        ServiceSettings settings = view.configuration().orElseThrow().services().get(name);
-        rows.<@Nullable Void>withShardOf(name, shard -> {
-            Row row = shard.computeIfAbsent(name, this::newRow);
+    private void update(String service, FleetView view) {
+        ServiceSettings settings =
+                view.configuration().orElseThrow().services().get(service);
+        rows.<@Nullable Void>withShardOf(service, shard -> {
+            Row row = shard.computeIfAbsent(service, this::newRow);
             int connections = settings == null ? row.service().connectionsPerTarget() : settings.connectionsPerTarget();
-            shard.put(name, row.unfinished());
-            shard.put(name, updated(row, connections, view));
+            Optional<ColdStart> coldStart = settings == null ? row.coldStarts().limit() : settings.coldStart();
+            shard.put(service, row.unfinished());
+            shard.put(service, updated(row, connections, coldStart, view));
             return null;
         });
     }
 
-    private Row updated(Row row, int connectionsPerTarget, FleetView view) {
-        String name = row.service().name();
-        ImmutableList<RegisteredTarget> targets = view.targets().getOrDefault(name, ImmutableList.of());
+    private Row updated(Row row, int connectionsPerTarget, Optional<ColdStart> coldStart, FleetView view) {
+        ImmutableList<RegisteredTarget> targets =
+                view.targets().getOrDefault(row.service().name(), ImmutableList.of());
         applyBudget(row.budget());
-        ServiceConfig service = serviceOf(name, connectionsPerTarget, targets);
+        ServiceConfig service = serviceOf(row.service().name(), connectionsPerTarget, targets);
+        ColdStarts coldStarts = new ColdStarts(coldStart, coldStart.isPresent() ? view.members() : ImmutableList.of());
         row.dispatcher().setDaemonCount(daemons);
+        if (!row.finished() || row.targets() != targets || !row.coldStarts().equals(coldStarts)) {
+            row.dispatcher().setColdTargetRules(rulesOf(coldStarts, targets));
+        }
         row.dispatcher().setEvacuatedZones(view.evacuatedZones());
         if (!row.finished() || row.targets() != targets || !row.service().equals(service)) {
             row.dispatcher().configure(service, traitsOf(targets));
         }
-        return new Row(row.dispatcher(), row.budget(), targets, service, true);
+        return new Row(row.dispatcher(), row.budget(), targets, service, coldStarts, true);
+    }
+
+    private Optional<ColdTargetRules> rulesOf(ColdStarts coldStarts, ImmutableList<RegisteredTarget> targets) {
+        return coldStarts
+                .limit()
+                .map(limit -> new ColdTargetRules(
+                        limit.requestsPerSecond(),
+                        limit.warmUp(),
+                        new ColdOwners(coldStarts.members()).ownedBy(name, targets)));
     }
 
     /** Replaces the shared budget. Extra calls already counted stay counted, and the window is not changed. */
@@ -161,7 +194,7 @@
         return all;
     }
 
-    private Row newRow(String name) {
+    private Row newRow(String service) {
         WindowBudget own = WindowBudget.of(time, 0, 0, budget.window());
         Dispatcher dispatcher = Dispatcher.builder()
                 .time(time)
@@ -173,8 +206,9 @@
         if (stop != null) {
             dispatcher.stopBy(stop);
         }
-        ServiceConfig unconfigured = serviceOf(name, 1, ImmutableList.of());
-        return new Row(dispatcher, own, ImmutableList.of(), unconfigured, true);
+        ServiceConfig unconfigured = serviceOf(service, 1, ImmutableList.of());
+        ColdStarts unlimited = new ColdStarts(Optional.empty(), ImmutableList.of());
+        return new Row(dispatcher, own, ImmutableList.of(), unconfigured, unlimited, true);
     }
 
     private static ServiceConfig serviceOf(String name, int connections, ImmutableList<RegisteredTarget> targets) {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -101,7 +101,8 @@
                 time,
                 SplittableRandom::new,
                 initial.extraCalls(),
-                initial.self().zone());
+                initial.self().zone(),
+                initial.self().name());
         this.state = new FleetState(time, dispatchers::update);
         this.freshness = new ViewFreshness(time, initial.watchTimes().bound());
         RelayLog relayLog = new RelayLog(time);
