--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
@@ -95,6 +95,26 @@
         }
     }
 
+    /** Sets the zones whose targets get neither calls nor probes. Calls in flight there are not affected. */
+    public void setEvacuatedZones(Set<String> zones) {
+        lock.lock();
+        try {
+            targets.setEvacuatedZones(zones, time.nanos());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Sets what may be sent to cold targets; empty if that is not limited. */
+    public void setColdTargetRules(Optional<ColdTargetRules> rules) {
+        lock.lock();
+        try {
+            targets.setColdTargetRules(rules, time.nanos());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Sets the number of daemons, including this one, that may connect to the same targets. Each daemon keeps to its
      * share of the connections.
@@ -113,7 +133,7 @@
 
     /** Records the load that a target reported in reply to a probe. */
     public void recordLoadReport(String targetId, LoadReport report) {
-        update(targetId, (state, now) -> state.onProbe(now, report));
+        update(targetId, (state, now) -> targets.recordLoadReport(state, report, now));
     }
 
     /** Records that a target replied to a load probe without reporting its load. */
@@ -168,7 +188,7 @@
         lock.lock();
         try {
             long now = time.nanos();
-            Optional<ErrorKind> refusal = limits.refusalToSend(call, now);
+            Optional<ErrorKind> refusal = refusalToSend(call, now);
             if (refusal.isPresent()) {
                 return new Admission.Refused(refusal.get());
             }
@@ -201,7 +221,7 @@
         lock.lock();
         try {
             long now = time.nanos();
-            if (limits.refusalToSend(call, now).isEmpty() && !retries.tryWithdraw()) {
+            if (refusalToSend(call, now).isEmpty() && !retries.tryWithdraw()) {
                 return new Admission.Refused(ErrorKind.OVERLOADED);
             }
             return readmit(call, failed, now);
@@ -273,7 +293,9 @@
         lock.lock();
         try {
             long now = time.nanos();
-            return limits.refusalOfWaiting(call, targets.restNanos(now), now).filter(kind -> queue.remove(call));
+            return refusalOfEvacuation(now)
+                    .or(() -> limits.refusalOfWaiting(call, targets.waitNanos(now), now))
+                    .filter(kind -> queue.remove(call));
         } finally {
             lock.unlock();
         }
@@ -360,8 +382,17 @@
         }
     }
 
+    /** Returns why {@code call} is not to be sent at once; empty if it may be sent. */
+    private Optional<ErrorKind> refusalToSend(Call call, long now) {
+        return limits.refusalToSend(call, now).or(() -> refusalOfEvacuation(now));
+    }
+
+    private Optional<ErrorKind> refusalOfEvacuation(long now) {
+        return targets.isEvacuated(now) ? Optional.of(ErrorKind.ZONES_EVACUATED) : Optional.empty();
+    }
+
     private Admission readmit(Call call, Set<String> failed, long now) {
-        Optional<ErrorKind> refusal = limits.refusalToSend(call, now);
+        Optional<ErrorKind> refusal = refusalToSend(call, now);
         if (refusal.isPresent()) {
             return new Admission.Refused(refusal.get());
         }
@@ -374,18 +405,22 @@
         double ahead = queue.callsAhead(call.tenant(), weight);
         Optional<ErrorKind> refusal = limits.refusalToWait(call, ahead, targets.room(now), now);
         if (refusal.isPresent()) {
-            return new Admission.Refused(refusal.get(), limits.retryAfter(call, targets.room(now), now));
+            // Only a rest that the targets have asked for delays the caller's return. Another daemon may own a cold
+            // target.
+            Room resting = new Room(targets.room(now).slots(), targets.restNanos(now));
+            return new Admission.Refused(refusal.get(), limits.retryAfter(call, resting, now));
         }
         queue.add(call, weight, failed);
         return new Admission.Waiting();
     }
 
     private DispatchResult drain(long now) {
-        long restNanos = targets.restNanos(now);
+        long restNanos = targets.waitNanos(now);
+        Optional<ErrorKind> evacuation = refusalOfEvacuation(now);
         return queue.drain(new CallQueue.DrainPolicy() {
             @Override
             public Optional<ErrorKind> refusalOf(Call call) {
-                return limits.refusalOfWaiting(call, restNanos, now);
+                return evacuation.or(() -> limits.refusalOfWaiting(call, restNanos, now));
             }
 
             @Override
@@ -421,6 +456,7 @@
                 target.expectedSlowdown(now, baselineNanos),
                 target.occupancy(now));
         target.start(assignment, baselineNanos);
+        targets.recordAssigned(target, now);
         return assignment;
     }
 
