--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/ColdTargets.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/ColdTargets.java
@@ -25,7 +25,7 @@
 
     private final Map<String, Entry> entries = new HashMap<>();
     private @Nullable ColdTargetRules rules;
-    private Deadline nextCheck = new Deadline(0);
+    private @Nullable Deadline nextCheck;
 
     /** What is known of one start of a target. */
     private static final class Entry {
@@ -137,15 +137,14 @@
         }
         Entry entry = entries.get(target.config().id());
         long untilWarm = entry.warmAt.remainingNanos(now);
-        return entry.nextCall == null
-                ? untilWarm
-                : Math.clamp(entry.nextCall.remainingNanos(now), 0, untilWarm);
+        return entry.nextCall == null ? untilWarm : Math.clamp(entry.nextCall.remainingNanos(now), 0, untilWarm);
     }
 
     /** Returns whether a probe may check now whether the cold target is still cold. */
     boolean isCheckDue(TargetState target, long now) {
         Entry entry = entries.get(target.config().id());
-        return entry != null && nextCheck.remainingNanos(now) <= 0 && entry.nextCheck.remainingNanos(now) <= 0;
+        boolean mayCheck = nextCheck == null || nextCheck.remainingNanos(now) <= 0;
+        return entry != null && mayCheck && entry.nextCheck.remainingNanos(now) <= 0;
     }
 
     /** Records that a probe checks the target. */
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
@@ -405,7 +405,8 @@
         double ahead = queue.callsAhead(call.tenant(), weight);
         Optional<ErrorKind> refusal = limits.refusalToWait(call, ahead, targets.room(now), now);
         if (refusal.isPresent()) {
-            // Only a rest that the targets have asked for delays the caller's return. Another daemon may own a cold target.
+            // Only a rest that the targets have asked for delays the caller's return. Another daemon may own a cold
+            // target.
             Room resting = new Room(targets.room(now).slots(), targets.restNanos(now));
             return new Admission.Refused(refusal.get(), limits.retryAfter(call, resting, now));
         }
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetSet.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetSet.java
@@ -208,7 +208,9 @@
 
     /** Returns the nanoseconds until a target may be sent a call, because all of them rest; zero if one does not. */
     long restNanos(long now) {
-        return announcements.isEmpty() ? 0 : shortestWait(target -> restEnd(target, now).remainingNanos(now), now);
+        return announcements.isEmpty()
+                ? 0
+                : shortestWait(target -> restEnd(target, now).remainingNanos(now), now);
     }
 
     /** Returns the nanoseconds until this daemon may send a call to a target, because all of them rest or are cold. */
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
@@ -124,8 +124,7 @@
     }
 
     private void update(String service, FleetView view) {
-        ServiceSettings settings =
-                view.configuration().orElseThrow().services().get(service);
+        ServiceSettings settings = view.configuration().orElseThrow().services().get(service);
         rows.<@Nullable Void>withShardOf(service, shard -> {
             Row row = shard.computeIfAbsent(service, this::newRow);
             int connections = settings == null ? row.service().connectionsPerTarget() : settings.connectionsPerTarget();
--- a/anvilpick-core/src/test/java/io/anvilpick/entry/FleetSimulation.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/entry/FleetSimulation.java
@@ -81,6 +81,10 @@
         final int slots;
         final List<Long> callTimes = new ArrayList<>();
         final List<Long> probeTimes = new ArrayList<>();
+
+        /** What the target states in reply to probes about when it is warm. */
+        Optional<Deadline> statedWarmAt = Optional.empty();
+
         private int running;
 
         private SimulatedTarget(TargetConfig config, int slots) {
@@ -110,8 +114,8 @@
         /** Starts anew with what the store holds, or with nothing if the store cannot be reached. */
         void restart() {
             starts++;
-            dispatchers =
-                    new EntryDispatchers(time, random::split, new SharedBudget(0.2, 400, Duration.ofSeconds(10)), zone);
+            dispatchers = new EntryDispatchers(
+                    time, random::split, new SharedBudget(0.2, 400, Duration.ofSeconds(10)), zone, name);
             state = new FleetState(time, dispatchers::update);
             readStore();
         }
@@ -244,7 +248,7 @@
         }
         calls.merge(request.priority(), 1, Integer::sum);
         Call call = new Call(nextNumber++, "", request, Deadline.after(time, TIMEOUT), Deadline.after(time, GOAL));
-        RunningCall running = new RunningCall(dispatcher.get(), call);
+        RunningCall running = new RunningCall(daemon, dispatcher.get(), call);
         probe(running);
         running.admit(dispatcher.get().submit(call));
     }
@@ -257,22 +261,35 @@
         }
     }
 
-    private static LoadReport reportOf(SimulatedTarget target) {
-        return new LoadReport(Math.min(target.slots, target.running), Math.max(0, target.running - target.slots), 1);
+    private LoadReport reportOf(SimulatedTarget target) {
+        return new LoadReport(
+                Math.min(target.slots, target.running),
+                Math.max(0, target.running - target.slots),
+                1,
+                target.statedWarmAt);
     }
 
     /** A call at a daemon until its first answer. */
     private final class RunningCall {
+        private final Daemon daemon;
+        private final int start;
         private final Dispatcher dispatcher;
         private final Call call;
         private boolean done;
 
-        private RunningCall(Dispatcher dispatcher, Call call) {
+        private RunningCall(Daemon daemon, Dispatcher dispatcher, Call call) {
+            this.daemon = daemon;
+            this.start = daemon.starts;
             this.dispatcher = dispatcher;
             this.call = call;
             waiting.put(call.id(), this);
         }
 
+        /** Returns whether the daemon was killed since the call arrived. It then sends nothing more. */
+        private boolean isKilled() {
+            return daemon.starts != start;
+        }
+
         private void admit(Admission admission) {
             switch (admission) {
                 case Admission.Assigned assigned -> send(assigned.assignment());
@@ -289,7 +306,7 @@
 
         private void pollLater() {
             after(POLL, () -> {
-                if (!waiting.containsKey(call.id())) {
+                if (!waiting.containsKey(call.id()) || isKilled()) {
                     return;
                 }
                 Optional<ErrorKind> refusal = dispatcher.withdrawIfLate(call);
@@ -313,7 +330,7 @@
             after(Duration.ofNanos((long) (WORK.toNanos() * turns)), () -> end(assignment, target, fails));
             if (random.nextDouble() < HEDGED_SHARE) {
                 after(HEDGE_AFTER, () -> {
-                    if (!done) {
+                    if (!done && !isKilled()) {
                         dispatcher.hedge(assignment).ifPresent(this::send);
                     }
                 });
@@ -322,6 +339,9 @@
 
         private void end(Assignment assignment, SimulatedTarget target, boolean fails) {
             target.running--;
+            if (isKilled()) {
+                return;
+            }
             apply(dispatcher.finish(assignment, new CallResult.Answered(Optional.of(reportOf(target)), fails)));
             if (done) {
                 return;
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -136,9 +136,11 @@
     private EntryRunner newRunner(TargetHeaders headers, CrashHistory history, HeldBytes heldBodies) {
         NettyTargetClient targets = new NettyTargetClient(loops, headers, time, heldBodies);
         EntryCrashGuard crashes = new EntryCrashGuard(
-                history, targets, peers::reportCrash, time, target -> !state.view()
-                        .evacuatedZones()
-                        .contains(target.zone()));
+                history,
+                targets,
+                peers::reportCrash,
+                time,
+                target -> !state.view().evacuatedZones().contains(target.zone()));
         EntryEvents events = new EntryEvents(metrics, time);
         Sender sender = new Sender(
                 targets, crashes, events, time, (nanos, action) -> loops.schedule(action, nanos, TimeUnit.NANOSECONDS));
@@ -184,8 +186,7 @@
         metrics.gauge("anvilpick_requests_in_flight", shutdown::inFlight);
         metrics.gauge("anvilpick_members_known", () -> state.view().members().size());
         metrics.gauge(
-                "anvilpick_zones_evacuated",
-                () -> state.view().evacuatedZones().size());
+                "anvilpick_zones_evacuated", () -> state.view().evacuatedZones().size());
         metrics.gauge("anvilpick_view_age_ms", () -> freshness.age().toMillis());
         metrics.gauge("anvilpick_store_revision", freshness::revision);
         metrics.gauge("anvilpick_watches_overdue", freshness::overdueWatches);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/AnswerBuilder.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/AnswerBuilder.java
@@ -84,7 +84,8 @@
         }
         return new TargetReply.Answered(
                 new CallAnswer(status, headers(), body.toByteArray(), false),
-                LoadReportParser.parse(response.headers().get(names.load())),
+                LoadReportParser.parse(
+                        response.headers().get(names.load()), response.headers().get(names.warmUpMillis()), time),
                 isRejection(),
                 notice(time));
     }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/TargetHeaders.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/TargetHeaders.java
@@ -10,6 +10,7 @@
  * @param seal header by which a target proves that it produced the answer
  * @param expectedTarget header with the id of the target that a request is addressed to
  * @param load header in which a target reports calls running, calls waiting, slots, and its slowness in percent
+ * @param warmUpMillis header in which a target states in reply to a probe for how many milliseconds it stays cold
  * @param notExecuted header by which a target states that it did not run the request
  * @param leaving header by which a target states in every answer that it is leaving
  * @param tenants headers that concern tenants
@@ -20,6 +21,7 @@
         String seal,
         String expectedTarget,
         String load,
+        String warmUpMillis,
         String notExecuted,
         String leaving,
         TenantHeaders tenants) {}
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
@@ -36,6 +36,7 @@
             "x-seal",
             "x-target",
             "x-load",
+            "warm-up-left",
             "x-not-run",
             "x-leaving",
             new TenantHeaders("x-key", "x-tenant"));
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryServiceTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryServiceTest.java
@@ -52,6 +52,7 @@
             "x-seal",
             "x-target",
             "x-load",
+            "warm-up-left",
             "x-not-run",
             "x-leaving",
             new TenantHeaders("x-key", "x-tenant"));
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/StopUnderLoadTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/StopUnderLoadTest.java
@@ -43,6 +43,7 @@
             "x-seal",
             "x-target",
             "x-load",
+            "warm-up-left",
             "x-not-run",
             "x-leaving",
             new TenantHeaders("x-key", "x-tenant"));
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/target/connections/TargetClientFixture.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/target/connections/TargetClientFixture.java
@@ -22,6 +22,7 @@
             "x-seal",
             "x-target",
             "x-load",
+            "x-warm-up",
             "x-not-run",
             "x-leaving",
             new TenantHeaders("x-key", "x-tenant"));
