--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryDaemonTest.java
@@ -37,6 +37,7 @@
             "x-seal",
             "x-target",
             "x-load",
+            "warm-up-left",
             "x-not-run",
             "x-leaving",
             new TenantHeaders("x-key", "x-tenant"));
