--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.anvilpick.routes.RouteConfiguration;
 import io.anvilpick.time.TimeSource;
 import java.time.Duration;
@@ -54,6 +55,7 @@
     private long graceEndNanos;
     private long lastAnswerNanos;
     private volatile FleetView view = FleetView.empty();
+    private volatile ImmutableSet<String> lapsedMembers = ImmutableSet.of();
 
     /** The last view that the listener has taken. It is another object than {@link #view} until the listener has taken that. */
     private FleetView deliveredView = view;
@@ -79,6 +81,14 @@
         return view;
     }
 
+    /**
+     * Returns the names of the daemons in the view whose registrations have lapsed. They stay in the view because they may register
+     * again; other daemons may have removed them.
+     */
+    public ImmutableSet<String> lapsedMembers() {
+        return lapsedMembers;
+    }
+
     /** Returns how often an unreadable item was read. */
     public UnreadableCounts unreadableCounts() {
         return unreadable.counts();
@@ -227,6 +237,7 @@
     }
 
     private void publish() {
+        lapsedMembers = members.lapsed();
         FleetView next = currentView();
         if (!Objects.equals(next, view)) {
             view = next;
@@ -295,6 +306,10 @@
                     .forEach(this::remove);
         }
 
+        private ImmutableSet<String> lapsed() {
+            return ImmutableSet.copyOf(lapsed.keySet());
+        }
+
         private boolean hasLapsed() {
             return !lapsed.isEmpty();
         }
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/ViewFreshness.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/ViewFreshness.java
@@ -24,6 +24,8 @@
     private long overdueWatches;
     private long revision;
     private long readAtNanos;
+    private long readStartNanos;
+    private long provenAtNanos;
 
     /**
      * Creates an instance whose content counts as read now.
@@ -34,6 +36,18 @@
         this.time = time;
         this.maxAge = maxAge;
         this.readAtNanos = time.nanos();
+        this.readStartNanos = readAtNanos;
+        this.provenAtNanos = readAtNanos;
+    }
+
+    /** Records that a read of the store or of a relay starts, whose end {@link #recordRead} records. */
+    public void recordReadStart() {
+        lock.lock();
+        try {
+            readStartNanos = time.nanos();
+        } finally {
+            lock.unlock();
+        }
     }
 
     /** Records the start of a watch that is overdue after {@code overdueAfter}. */
@@ -64,6 +78,7 @@
         try {
             revision = Math.max(revision, readRevision);
             readAtNanos = time.nanos() - age.toNanos();
+            provenAtNanos = Math.max(provenAtNanos, readStartNanos - age.toNanos());
             reportAge();
         } finally {
             lock.unlock();
@@ -91,6 +106,19 @@
         }
     }
 
+    /**
+     * Returns the maximum age of the content: the time since the last successful read started. It includes the time for which a
+     * response waited in a process that was suspended, which {@link #age} does not.
+     */
+    public Duration provenAge() {
+        lock.lock();
+        try {
+            return Duration.ofNanos(time.nanos() - provenAtNanos);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Returns whether the content is so old that changes which should be in force by now may be missing. */
     public boolean isOld() {
         return age().compareTo(maxAge) > 0;
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
@@ -112,6 +112,7 @@
     }
 
     private Duration follow() throws InterruptedException {
+        freshness.recordReadStart();
         Optional<EntryMember> relay = relays.assignedRelay();
         if (relay.isPresent() && relaySkipEnd.hasPassed(time)) {
             if (followRelay(relay.get())) {
--- a/anvilpick-core/src/main/java/io/anvilpick/messages/PeerReply.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/messages/PeerReply.java
@@ -58,6 +58,13 @@
      */
     record AllowanceGrant(int granted, Duration retryAfter) implements PeerReply {}
 
+    /**
+     * The replying daemon does not grant tokens of the tenant of an {@link AllowanceRequest}.
+     *
+     * @param settlesAfter time after which it may grant tokens; zero if it may grant those of other tenants now
+     */
+    record NotGrantor(Duration settlesAfter) implements PeerReply {}
+
     /** The request could not be decoded or served. */
     record Rejected(String reason) implements PeerReply {}
 }
--- a/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/PeerCodec.java
@@ -126,6 +126,10 @@
                                 .setGranted(grant.granted())
                                 .setRetryAfterMillis(grant.retryAfter().toMillis()))
                         .build();
+            case PeerReply.NotGrantor refusal ->
+                envelope.setNotGrantor(PeerProto.NotGrantor.newBuilder()
+                                .setSettlesAfterMillis(refusal.settlesAfter().toMillis()))
+                        .build();
             case PeerReply.Rejected rejected ->
                 envelope.setRejected(PeerProto.Rejected.newBuilder().setReason(rejected.reason()))
                         .build();
@@ -191,6 +195,7 @@
                             REJECTED,
                             FOLLOWED,
                             ALLOWANCE_GRANT,
+                            NOT_GRANTOR,
                             BODY_NOT_SET -> null;
                 };
         return Optional.ofNullable(request);
@@ -217,6 +222,9 @@
                         new PeerReply.AllowanceGrant(
                                 envelope.getAllowanceGrant().getGranted(),
                                 Duration.ofMillis(envelope.getAllowanceGrant().getRetryAfterMillis()));
+                    case NOT_GRANTOR ->
+                        new PeerReply.NotGrantor(
+                                Duration.ofMillis(envelope.getNotGrantor().getSettlesAfterMillis()));
                     case REJECTED ->
                         new PeerReply.Rejected(envelope.getRejected().getReason());
                     case CLAIM_VOTE,
--- a/anvilpick-peer/src/main/java/io/anvilpick/peer/wire/PeerProto.java
+++ b/anvilpick-peer/src/main/java/io/anvilpick/peer/wire/PeerProto.java
@@ -340,6 +340,21 @@
      */
     io.anvilpick.peer.wire.PeerProto.AllowanceGrantOrBuilder getAllowanceGrantOrBuilder();
 
+    /**
+     * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+     * @return Whether the notGrantor field is set.
+     */
+    boolean hasNotGrantor();
+    /**
+     * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+     * @return The notGrantor.
+     */
+    io.anvilpick.peer.wire.PeerProto.NotGrantor getNotGrantor();
+    /**
+     * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+     */
+    io.anvilpick.peer.wire.PeerProto.NotGrantorOrBuilder getNotGrantorOrBuilder();
+
     io.anvilpick.peer.wire.PeerProto.Envelope.BodyCase getBodyCase();
   }
   /**
@@ -405,6 +420,7 @@
       REJECTED(26),
       FOLLOWED(27),
       ALLOWANCE_GRANT(28),
+      NOT_GRANTOR(29),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -442,6 +458,7 @@
           case 26: return REJECTED;
           case 27: return FOLLOWED;
           case 28: return ALLOWANCE_GRANT;
+          case 29: return NOT_GRANTOR;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -1092,6 +1109,37 @@
       return io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance();
     }
 
+    public static final int NOT_GRANTOR_FIELD_NUMBER = 29;
+    /**
+     * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+     * @return Whether the notGrantor field is set.
+     */
+    @java.lang.Override
+    public boolean hasNotGrantor() {
+      return bodyCase_ == 29;
+    }
+    /**
+     * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+     * @return The notGrantor.
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.NotGrantor getNotGrantor() {
+      if (bodyCase_ == 29) {
+         return (io.anvilpick.peer.wire.PeerProto.NotGrantor) body_;
+      }
+      return io.anvilpick.peer.wire.PeerProto.NotGrantor.getDefaultInstance();
+    }
+    /**
+     * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+     */
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.NotGrantorOrBuilder getNotGrantorOrBuilder() {
+      if (bodyCase_ == 29) {
+         return (io.anvilpick.peer.wire.PeerProto.NotGrantor) body_;
+      }
+      return io.anvilpick.peer.wire.PeerProto.NotGrantor.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1169,6 +1217,9 @@
       if (bodyCase_ == 28) {
         output.writeMessage(28, (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) body_);
       }
+      if (bodyCase_ == 29) {
+        output.writeMessage(29, (io.anvilpick.peer.wire.PeerProto.NotGrantor) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -1262,6 +1313,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(28, (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) body_);
       }
+      if (bodyCase_ == 29) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(29, (io.anvilpick.peer.wire.PeerProto.NotGrantor) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -1361,6 +1416,10 @@
           if (!getAllowanceGrant()
               .equals(other.getAllowanceGrant())) return false;
           break;
+        case 29:
+          if (!getNotGrantor()
+              .equals(other.getNotGrantor())) return false;
+          break;
         case 0:
         default:
       }
@@ -1459,6 +1518,10 @@
           hash = (37 * hash) + ALLOWANCE_GRANT_FIELD_NUMBER;
           hash = (53 * hash) + getAllowanceGrant().hashCode();
           break;
+        case 29:
+          hash = (37 * hash) + NOT_GRANTOR_FIELD_NUMBER;
+          hash = (53 * hash) + getNotGrantor().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1654,6 +1717,9 @@
         if (allowanceGrantBuilder_ != null) {
           allowanceGrantBuilder_.clear();
         }
+        if (notGrantorBuilder_ != null) {
+          notGrantorBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -1778,6 +1844,10 @@
             allowanceGrantBuilder_ != null) {
           result.body_ = allowanceGrantBuilder_.build();
         }
+        if (bodyCase_ == 29 &&
+            notGrantorBuilder_ != null) {
+          result.body_ = notGrantorBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1876,6 +1946,10 @@
             mergeAllowanceGrant(other.getAllowanceGrant());
             break;
           }
+          case NOT_GRANTOR: {
+            mergeNotGrantor(other.getNotGrantor());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -2051,6 +2125,13 @@
                 bodyCase_ = 28;
                 break;
               } // case 226
+              case 234: {
+                input.readMessage(
+                    internalGetNotGrantorFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 29;
+                break;
+              } // case 234
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4967,6 +5048,148 @@
         return allowanceGrantBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.NotGrantor, io.anvilpick.peer.wire.PeerProto.NotGrantor.Builder, io.anvilpick.peer.wire.PeerProto.NotGrantorOrBuilder> notGrantorBuilder_;
+      /**
+       * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+       * @return Whether the notGrantor field is set.
+       */
+      @java.lang.Override
+      public boolean hasNotGrantor() {
+        return bodyCase_ == 29;
+      }
+      /**
+       * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+       * @return The notGrantor.
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.NotGrantor getNotGrantor() {
+        if (notGrantorBuilder_ == null) {
+          if (bodyCase_ == 29) {
+            return (io.anvilpick.peer.wire.PeerProto.NotGrantor) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.NotGrantor.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 29) {
+            return notGrantorBuilder_.getMessage();
+          }
+          return io.anvilpick.peer.wire.PeerProto.NotGrantor.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+       */
+      public Builder setNotGrantor(io.anvilpick.peer.wire.PeerProto.NotGrantor value) {
+        if (notGrantorBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          notGrantorBuilder_.setMessage(value);
+        }
+        bodyCase_ = 29;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+       */
+      public Builder setNotGrantor(
+          io.anvilpick.peer.wire.PeerProto.NotGrantor.Builder builderForValue) {
+        if (notGrantorBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          notGrantorBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 29;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+       */
+      public Builder mergeNotGrantor(io.anvilpick.peer.wire.PeerProto.NotGrantor value) {
+        if (notGrantorBuilder_ == null) {
+          if (bodyCase_ == 29 &&
+              body_ != io.anvilpick.peer.wire.PeerProto.NotGrantor.getDefaultInstance()) {
+            body_ = io.anvilpick.peer.wire.PeerProto.NotGrantor.newBuilder((io.anvilpick.peer.wire.PeerProto.NotGrantor) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 29) {
+            notGrantorBuilder_.mergeFrom(value);
+          } else {
+            notGrantorBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 29;
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+       */
+      public Builder clearNotGrantor() {
+        if (notGrantorBuilder_ == null) {
+          if (bodyCase_ == 29) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 29) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          notGrantorBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+       */
+      public io.anvilpick.peer.wire.PeerProto.NotGrantor.Builder getNotGrantorBuilder() {
+        return internalGetNotGrantorFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+       */
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.NotGrantorOrBuilder getNotGrantorOrBuilder() {
+        if ((bodyCase_ == 29) && (notGrantorBuilder_ != null)) {
+          return notGrantorBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 29) {
+            return (io.anvilpick.peer.wire.PeerProto.NotGrantor) body_;
+          }
+          return io.anvilpick.peer.wire.PeerProto.NotGrantor.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.anvilpick.peer.NotGrantor not_grantor = 29;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          io.anvilpick.peer.wire.PeerProto.NotGrantor, io.anvilpick.peer.wire.PeerProto.NotGrantor.Builder, io.anvilpick.peer.wire.PeerProto.NotGrantorOrBuilder> 
+          internalGetNotGrantorFieldBuilder() {
+        if (notGrantorBuilder_ == null) {
+          if (!(bodyCase_ == 29)) {
+            body_ = io.anvilpick.peer.wire.PeerProto.NotGrantor.getDefaultInstance();
+          }
+          notGrantorBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.anvilpick.peer.wire.PeerProto.NotGrantor, io.anvilpick.peer.wire.PeerProto.NotGrantor.Builder, io.anvilpick.peer.wire.PeerProto.NotGrantorOrBuilder>(
+                  (io.anvilpick.peer.wire.PeerProto.NotGrantor) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 29;
+        onChanged();
+        return notGrantorBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:anvilpick.peer.Envelope)
     }
 
@@ -7998,20 +8221,555 @@
       // @@protoc_insertion_point(builder_scope:anvilpick.peer.Allowance)
     }
 
-    // @@protoc_insertion_point(class_scope:anvilpick.peer.Allowance)
-    private static final io.anvilpick.peer.wire.PeerProto.Allowance DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.Allowance)
+    private static final io.anvilpick.peer.wire.PeerProto.Allowance DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.Allowance();
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.Allowance getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Allowance>
+        PARSER = new com.google.protobuf.AbstractParser<Allowance>() {
+      @java.lang.Override
+      public Allowance parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Allowance> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Allowance> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.anvilpick.peer.wire.PeerProto.Allowance getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface AllowanceGrantOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:anvilpick.peer.AllowanceGrant)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>int32 granted = 1;</code>
+     * @return The granted.
+     */
+    int getGranted();
+
+    /**
+     * <pre>
+     * Time after which the grantor expects to have a token again, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 retry_after_millis = 2;</code>
+     * @return The retryAfterMillis.
+     */
+    long getRetryAfterMillis();
+  }
+  /**
+   * <pre>
+   * Tokens granted, which may be none.
+   * </pre>
+   *
+   * Protobuf type {@code anvilpick.peer.AllowanceGrant}
+   */
+  public static final class AllowanceGrant extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:anvilpick.peer.AllowanceGrant)
+      AllowanceGrantOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "AllowanceGrant");
+    }
+    // Use AllowanceGrant.newBuilder() to construct.
+    private AllowanceGrant(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private AllowanceGrant() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.anvilpick.peer.wire.PeerProto.AllowanceGrant.class, io.anvilpick.peer.wire.PeerProto.AllowanceGrant.Builder.class);
+    }
+
+    public static final int GRANTED_FIELD_NUMBER = 1;
+    private int granted_ = 0;
+    /**
+     * <code>int32 granted = 1;</code>
+     * @return The granted.
+     */
+    @java.lang.Override
+    public int getGranted() {
+      return granted_;
+    }
+
+    public static final int RETRY_AFTER_MILLIS_FIELD_NUMBER = 2;
+    private long retryAfterMillis_ = 0L;
+    /**
+     * <pre>
+     * Time after which the grantor expects to have a token again, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 retry_after_millis = 2;</code>
+     * @return The retryAfterMillis.
+     */
+    @java.lang.Override
+    public long getRetryAfterMillis() {
+      return retryAfterMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (granted_ != 0) {
+        output.writeInt32(1, granted_);
+      }
+      if (retryAfterMillis_ != 0L) {
+        output.writeInt64(2, retryAfterMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (granted_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(1, granted_);
+      }
+      if (retryAfterMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, retryAfterMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.AllowanceGrant)) {
+        return super.equals(obj);
+      }
+      io.anvilpick.peer.wire.PeerProto.AllowanceGrant other = (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) obj;
+
+      if (getGranted()
+          != other.getGranted()) return false;
+      if (getRetryAfterMillis()
+          != other.getRetryAfterMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + GRANTED_FIELD_NUMBER;
+      hash = (53 * hash) + getGranted();
+      hash = (37 * hash) + RETRY_AFTER_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRetryAfterMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.AllowanceGrant prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Tokens granted, which may be none.
+     * </pre>
+     *
+     * Protobuf type {@code anvilpick.peer.AllowanceGrant}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:anvilpick.peer.AllowanceGrant)
+        io.anvilpick.peer.wire.PeerProto.AllowanceGrantOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.anvilpick.peer.wire.PeerProto.AllowanceGrant.class, io.anvilpick.peer.wire.PeerProto.AllowanceGrant.Builder.class);
+      }
+
+      // Construct using io.anvilpick.peer.wire.PeerProto.AllowanceGrant.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        granted_ = 0;
+        retryAfterMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_descriptor;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.AllowanceGrant getDefaultInstanceForType() {
+        return io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.AllowanceGrant build() {
+        io.anvilpick.peer.wire.PeerProto.AllowanceGrant result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.anvilpick.peer.wire.PeerProto.AllowanceGrant buildPartial() {
+        io.anvilpick.peer.wire.PeerProto.AllowanceGrant result = new io.anvilpick.peer.wire.PeerProto.AllowanceGrant(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.AllowanceGrant result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.granted_ = granted_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.retryAfterMillis_ = retryAfterMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.anvilpick.peer.wire.PeerProto.AllowanceGrant) {
+          return mergeFrom((io.anvilpick.peer.wire.PeerProto.AllowanceGrant)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.AllowanceGrant other) {
+        if (other == io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance()) return this;
+        if (other.getGranted() != 0) {
+          setGranted(other.getGranted());
+        }
+        if (other.getRetryAfterMillis() != 0L) {
+          setRetryAfterMillis(other.getRetryAfterMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                granted_ = input.readInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                retryAfterMillis_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int granted_ ;
+      /**
+       * <code>int32 granted = 1;</code>
+       * @return The granted.
+       */
+      @java.lang.Override
+      public int getGranted() {
+        return granted_;
+      }
+      /**
+       * <code>int32 granted = 1;</code>
+       * @param value The granted to set.
+       * @return This builder for chaining.
+       */
+      public Builder setGranted(int value) {
+
+        granted_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 granted = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearGranted() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        granted_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long retryAfterMillis_ ;
+      /**
+       * <pre>
+       * Time after which the grantor expects to have a token again, in milliseconds.
+       * </pre>
+       *
+       * <code>int64 retry_after_millis = 2;</code>
+       * @return The retryAfterMillis.
+       */
+      @java.lang.Override
+      public long getRetryAfterMillis() {
+        return retryAfterMillis_;
+      }
+      /**
+       * <pre>
+       * Time after which the grantor expects to have a token again, in milliseconds.
+       * </pre>
+       *
+       * <code>int64 retry_after_millis = 2;</code>
+       * @param value The retryAfterMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRetryAfterMillis(long value) {
+
+        retryAfterMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Time after which the grantor expects to have a token again, in milliseconds.
+       * </pre>
+       *
+       * <code>int64 retry_after_millis = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRetryAfterMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        retryAfterMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.AllowanceGrant)
+    }
+
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.AllowanceGrant)
+    private static final io.anvilpick.peer.wire.PeerProto.AllowanceGrant DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.Allowance();
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.AllowanceGrant();
     }
 
-    public static io.anvilpick.peer.wire.PeerProto.Allowance getDefaultInstance() {
+    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Allowance>
-        PARSER = new com.google.protobuf.AbstractParser<Allowance>() {
+    private static final com.google.protobuf.Parser<AllowanceGrant>
+        PARSER = new com.google.protobuf.AbstractParser<AllowanceGrant>() {
       @java.lang.Override
-      public Allowance parsePartialFrom(
+      public AllowanceGrant parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -8030,53 +8788,47 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Allowance> parser() {
+    public static com.google.protobuf.Parser<AllowanceGrant> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Allowance> getParserForType() {
+    public com.google.protobuf.Parser<AllowanceGrant> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public io.anvilpick.peer.wire.PeerProto.Allowance getDefaultInstanceForType() {
+    public io.anvilpick.peer.wire.PeerProto.AllowanceGrant getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface AllowanceGrantOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:anvilpick.peer.AllowanceGrant)
+  public interface NotGrantorOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:anvilpick.peer.NotGrantor)
       com.google.protobuf.MessageOrBuilder {
 
-    /**
-     * <code>int32 granted = 1;</code>
-     * @return The granted.
-     */
-    int getGranted();
-
     /**
      * <pre>
-     * Time after which the grantor expects to have a token again, in milliseconds.
+     * Time after which the receiver may grant tokens, in milliseconds; 0 if it may grant those of other tenants now.
      * </pre>
      *
-     * <code>int64 retry_after_millis = 2;</code>
-     * @return The retryAfterMillis.
+     * <code>int64 settles_after_millis = 1;</code>
+     * @return The settlesAfterMillis.
      */
-    long getRetryAfterMillis();
+    long getSettlesAfterMillis();
   }
   /**
    * <pre>
-   * Tokens granted, which may be none.
+   * The receiver grants no tokens of the tenant.
    * </pre>
    *
-   * Protobuf type {@code anvilpick.peer.AllowanceGrant}
+   * Protobuf type {@code anvilpick.peer.NotGrantor}
    */
-  public static final class AllowanceGrant extends
+  public static final class NotGrantor extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:anvilpick.peer.AllowanceGrant)
-      AllowanceGrantOrBuilder {
+      // @@protoc_insertion_point(message_implements:anvilpick.peer.NotGrantor)
+      NotGrantorOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -8085,52 +8837,41 @@
         /* minor= */ 33,
         /* patch= */ 4,
         /* suffix= */ "",
-        "AllowanceGrant");
+        "NotGrantor");
     }
-    // Use AllowanceGrant.newBuilder() to construct.
-    private AllowanceGrant(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use NotGrantor.newBuilder() to construct.
+    private NotGrantor(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private AllowanceGrant() {
+    private NotGrantor() {
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_descriptor;
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_NotGrantor_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_fieldAccessorTable
+      return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_NotGrantor_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              io.anvilpick.peer.wire.PeerProto.AllowanceGrant.class, io.anvilpick.peer.wire.PeerProto.AllowanceGrant.Builder.class);
-    }
-
-    public static final int GRANTED_FIELD_NUMBER = 1;
-    private int granted_ = 0;
-    /**
-     * <code>int32 granted = 1;</code>
-     * @return The granted.
-     */
-    @java.lang.Override
-    public int getGranted() {
-      return granted_;
+              io.anvilpick.peer.wire.PeerProto.NotGrantor.class, io.anvilpick.peer.wire.PeerProto.NotGrantor.Builder.class);
     }
 
-    public static final int RETRY_AFTER_MILLIS_FIELD_NUMBER = 2;
-    private long retryAfterMillis_ = 0L;
+    public static final int SETTLES_AFTER_MILLIS_FIELD_NUMBER = 1;
+    private long settlesAfterMillis_ = 0L;
     /**
      * <pre>
-     * Time after which the grantor expects to have a token again, in milliseconds.
+     * Time after which the receiver may grant tokens, in milliseconds; 0 if it may grant those of other tenants now.
      * </pre>
      *
-     * <code>int64 retry_after_millis = 2;</code>
-     * @return The retryAfterMillis.
+     * <code>int64 settles_after_millis = 1;</code>
+     * @return The settlesAfterMillis.
      */
     @java.lang.Override
-    public long getRetryAfterMillis() {
-      return retryAfterMillis_;
+    public long getSettlesAfterMillis() {
+      return settlesAfterMillis_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -8147,11 +8888,8 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (granted_ != 0) {
-        output.writeInt32(1, granted_);
-      }
-      if (retryAfterMillis_ != 0L) {
-        output.writeInt64(2, retryAfterMillis_);
+      if (settlesAfterMillis_ != 0L) {
+        output.writeInt64(1, settlesAfterMillis_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -8162,13 +8900,9 @@
       if (size != -1) return size;
 
       size = 0;
-      if (granted_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeInt32Size(1, granted_);
-      }
-      if (retryAfterMillis_ != 0L) {
+      if (settlesAfterMillis_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(2, retryAfterMillis_);
+          .computeInt64Size(1, settlesAfterMillis_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -8180,15 +8914,13 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.AllowanceGrant)) {
+      if (!(obj instanceof io.anvilpick.peer.wire.PeerProto.NotGrantor)) {
         return super.equals(obj);
       }
-      io.anvilpick.peer.wire.PeerProto.AllowanceGrant other = (io.anvilpick.peer.wire.PeerProto.AllowanceGrant) obj;
+      io.anvilpick.peer.wire.PeerProto.NotGrantor other = (io.anvilpick.peer.wire.PeerProto.NotGrantor) obj;
 
-      if (getGranted()
-          != other.getGranted()) return false;
-      if (getRetryAfterMillis()
-          != other.getRetryAfterMillis()) return false;
+      if (getSettlesAfterMillis()
+          != other.getSettlesAfterMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -8200,54 +8932,52 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + GRANTED_FIELD_NUMBER;
-      hash = (53 * hash) + getGranted();
-      hash = (37 * hash) + RETRY_AFTER_MILLIS_FIELD_NUMBER;
+      hash = (37 * hash) + SETTLES_AFTER_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getRetryAfterMillis());
+          getSettlesAfterMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(byte[] data)
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(java.io.InputStream input)
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -8255,26 +8985,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseDelimitedFrom(java.io.InputStream input)
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseDelimitedFrom(
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant parseFrom(
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -8287,7 +9017,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.AllowanceGrant prototype) {
+    public static Builder newBuilder(io.anvilpick.peer.wire.PeerProto.NotGrantor prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -8304,29 +9034,29 @@
     }
     /**
      * <pre>
-     * Tokens granted, which may be none.
+     * The receiver grants no tokens of the tenant.
      * </pre>
      *
-     * Protobuf type {@code anvilpick.peer.AllowanceGrant}
+     * Protobuf type {@code anvilpick.peer.NotGrantor}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:anvilpick.peer.AllowanceGrant)
-        io.anvilpick.peer.wire.PeerProto.AllowanceGrantOrBuilder {
+        // @@protoc_insertion_point(builder_implements:anvilpick.peer.NotGrantor)
+        io.anvilpick.peer.wire.PeerProto.NotGrantorOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_descriptor;
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_NotGrantor_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_fieldAccessorTable
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_NotGrantor_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                io.anvilpick.peer.wire.PeerProto.AllowanceGrant.class, io.anvilpick.peer.wire.PeerProto.AllowanceGrant.Builder.class);
+                io.anvilpick.peer.wire.PeerProto.NotGrantor.class, io.anvilpick.peer.wire.PeerProto.NotGrantor.Builder.class);
       }
 
-      // Construct using io.anvilpick.peer.wire.PeerProto.AllowanceGrant.newBuilder()
+      // Construct using io.anvilpick.peer.wire.PeerProto.NotGrantor.newBuilder()
       private Builder() {
 
       }
@@ -8340,25 +9070,24 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        granted_ = 0;
-        retryAfterMillis_ = 0L;
+        settlesAfterMillis_ = 0L;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_AllowanceGrant_descriptor;
+        return io.anvilpick.peer.wire.PeerProto.internal_static_anvilpick_peer_NotGrantor_descriptor;
       }
 
       @java.lang.Override
-      public io.anvilpick.peer.wire.PeerProto.AllowanceGrant getDefaultInstanceForType() {
-        return io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance();
+      public io.anvilpick.peer.wire.PeerProto.NotGrantor getDefaultInstanceForType() {
+        return io.anvilpick.peer.wire.PeerProto.NotGrantor.getDefaultInstance();
       }
 
       @java.lang.Override
-      public io.anvilpick.peer.wire.PeerProto.AllowanceGrant build() {
-        io.anvilpick.peer.wire.PeerProto.AllowanceGrant result = buildPartial();
+      public io.anvilpick.peer.wire.PeerProto.NotGrantor build() {
+        io.anvilpick.peer.wire.PeerProto.NotGrantor result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -8366,40 +9095,34 @@
       }
 
       @java.lang.Override
-      public io.anvilpick.peer.wire.PeerProto.AllowanceGrant buildPartial() {
-        io.anvilpick.peer.wire.PeerProto.AllowanceGrant result = new io.anvilpick.peer.wire.PeerProto.AllowanceGrant(this);
+      public io.anvilpick.peer.wire.PeerProto.NotGrantor buildPartial() {
+        io.anvilpick.peer.wire.PeerProto.NotGrantor result = new io.anvilpick.peer.wire.PeerProto.NotGrantor(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.AllowanceGrant result) {
+      private void buildPartial0(io.anvilpick.peer.wire.PeerProto.NotGrantor result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.granted_ = granted_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.retryAfterMillis_ = retryAfterMillis_;
+          result.settlesAfterMillis_ = settlesAfterMillis_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof io.anvilpick.peer.wire.PeerProto.AllowanceGrant) {
-          return mergeFrom((io.anvilpick.peer.wire.PeerProto.AllowanceGrant)other);
+        if (other instanceof io.anvilpick.peer.wire.PeerProto.NotGrantor) {
+          return mergeFrom((io.anvilpick.peer.wire.PeerProto.NotGrantor)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.AllowanceGrant other) {
-        if (other == io.anvilpick.peer.wire.PeerProto.AllowanceGrant.getDefaultInstance()) return this;
-        if (other.getGranted() != 0) {
-          setGranted(other.getGranted());
-        }
-        if (other.getRetryAfterMillis() != 0L) {
-          setRetryAfterMillis(other.getRetryAfterMillis());
+      public Builder mergeFrom(io.anvilpick.peer.wire.PeerProto.NotGrantor other) {
+        if (other == io.anvilpick.peer.wire.PeerProto.NotGrantor.getDefaultInstance()) return this;
+        if (other.getSettlesAfterMillis() != 0L) {
+          setSettlesAfterMillis(other.getSettlesAfterMillis());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -8428,15 +9151,10 @@
                 done = true;
                 break;
               case 8: {
-                granted_ = input.readInt32();
+                settlesAfterMillis_ = input.readInt64();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 8
-              case 16: {
-                retryAfterMillis_ = input.readInt64();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 16
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -8454,99 +9172,67 @@
       }
       private int bitField0_;
 
-      private int granted_ ;
-      /**
-       * <code>int32 granted = 1;</code>
-       * @return The granted.
-       */
-      @java.lang.Override
-      public int getGranted() {
-        return granted_;
-      }
-      /**
-       * <code>int32 granted = 1;</code>
-       * @param value The granted to set.
-       * @return This builder for chaining.
-       */
-      public Builder setGranted(int value) {
-
-        granted_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>int32 granted = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearGranted() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        granted_ = 0;
-        onChanged();
-        return this;
-      }
-
-      private long retryAfterMillis_ ;
+      private long settlesAfterMillis_ ;
       /**
        * <pre>
-       * Time after which the grantor expects to have a token again, in milliseconds.
+       * Time after which the receiver may grant tokens, in milliseconds; 0 if it may grant those of other tenants now.
        * </pre>
        *
-       * <code>int64 retry_after_millis = 2;</code>
-       * @return The retryAfterMillis.
+       * <code>int64 settles_after_millis = 1;</code>
+       * @return The settlesAfterMillis.
        */
       @java.lang.Override
-      public long getRetryAfterMillis() {
-        return retryAfterMillis_;
+      public long getSettlesAfterMillis() {
+        return settlesAfterMillis_;
       }
       /**
        * <pre>
-       * Time after which the grantor expects to have a token again, in milliseconds.
+       * Time after which the receiver may grant tokens, in milliseconds; 0 if it may grant those of other tenants now.
        * </pre>
        *
-       * <code>int64 retry_after_millis = 2;</code>
-       * @param value The retryAfterMillis to set.
+       * <code>int64 settles_after_millis = 1;</code>
+       * @param value The settlesAfterMillis to set.
        * @return This builder for chaining.
        */
-      public Builder setRetryAfterMillis(long value) {
+      public Builder setSettlesAfterMillis(long value) {
 
-        retryAfterMillis_ = value;
-        bitField0_ |= 0x00000002;
+        settlesAfterMillis_ = value;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Time after which the grantor expects to have a token again, in milliseconds.
+       * Time after which the receiver may grant tokens, in milliseconds; 0 if it may grant those of other tenants now.
        * </pre>
        *
-       * <code>int64 retry_after_millis = 2;</code>
+       * <code>int64 settles_after_millis = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearRetryAfterMillis() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        retryAfterMillis_ = 0L;
+      public Builder clearSettlesAfterMillis() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        settlesAfterMillis_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:anvilpick.peer.AllowanceGrant)
+      // @@protoc_insertion_point(builder_scope:anvilpick.peer.NotGrantor)
     }
 
-    // @@protoc_insertion_point(class_scope:anvilpick.peer.AllowanceGrant)
-    private static final io.anvilpick.peer.wire.PeerProto.AllowanceGrant DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:anvilpick.peer.NotGrantor)
+    private static final io.anvilpick.peer.wire.PeerProto.NotGrantor DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.AllowanceGrant();
+      DEFAULT_INSTANCE = new io.anvilpick.peer.wire.PeerProto.NotGrantor();
     }
 
-    public static io.anvilpick.peer.wire.PeerProto.AllowanceGrant getDefaultInstance() {
+    public static io.anvilpick.peer.wire.PeerProto.NotGrantor getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<AllowanceGrant>
-        PARSER = new com.google.protobuf.AbstractParser<AllowanceGrant>() {
+    private static final com.google.protobuf.Parser<NotGrantor>
+        PARSER = new com.google.protobuf.AbstractParser<NotGrantor>() {
       @java.lang.Override
-      public AllowanceGrant parsePartialFrom(
+      public NotGrantor parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -8565,17 +9251,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<AllowanceGrant> parser() {
+    public static com.google.protobuf.Parser<NotGrantor> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<AllowanceGrant> getParserForType() {
+    public com.google.protobuf.Parser<NotGrantor> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public io.anvilpick.peer.wire.PeerProto.AllowanceGrant getDefaultInstanceForType() {
+    public io.anvilpick.peer.wire.PeerProto.NotGrantor getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -30687,6 +31373,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_anvilpick_peer_AllowanceGrant_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_anvilpick_peer_NotGrantor_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_anvilpick_peer_NotGrantor_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_anvilpick_peer_ClaimKey_descriptor;
   private static final 
@@ -30836,7 +31527,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\016anvilpick.peer\"\272\007\n\010Envelop" +
+      "\n\npeer.proto\022\016anvilpick.peer\"\355\007\n\010Envelop" +
       "e\022\022\n\nrequest_id\030\001 \001(\004\022/\n\nclaim_vote\030\002 \001(" +
       "\0132\031.anvilpick.peer.ClaimVoteH\000\0223\n\014claim_" +
       "settle\030\003 \001(\0132\033.anvilpick.peer.ClaimSettl" +
@@ -30860,78 +31551,81 @@
       " \001(\0132\030.anvilpick.peer.RejectedH\000\022,\n\010foll" +
       "owed\030\033 \001(\0132\030.anvilpick.peer.FollowedH\000\0229" +
       "\n\017allowance_grant\030\034 \001(\0132\036.anvilpick.peer" +
-      ".AllowanceGrantH\000B\006\n\004body\"$\n\006Follow\022\r\n\005a" +
-      "fter\030\001 \001(\003\022\013\n\003era\030\002 \001(\003\"I\n\nStoredItem\022\013\n" +
-      "\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\022\n\005value\030\003 " +
-      "\001(\tH\000\210\001\001B\010\n\006_value\"w\n\010Followed\022\r\n\005whole\030" +
-      "\001 \001(\010\022\020\n\010revision\030\002 \001(\003\022\022\n\nage_millis\030\003 " +
-      "\001(\003\022)\n\005items\030\004 \003(\0132\032.anvilpick.peer.Stor" +
-      "edItem\022\013\n\003era\030\005 \001(\003\"+\n\tAllowance\022\016\n\006tena" +
-      "nt\030\001 \001(\t\022\016\n\006wanted\030\002 \001(\005\"=\n\016AllowanceGra" +
-      "nt\022\017\n\007granted\030\001 \001(\005\022\032\n\022retry_after_milli" +
-      "s\030\002 \001(\003\"8\n\010ClaimKey\022\017\n\007service\030\001 \001(\t\022\016\n\006" +
-      "tenant\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\"@\n\nKeptAnswer\022" +
-      "\016\n\006status\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n" +
-      "\004body\030\003 \001(\014\"\245\001\n\nClaimState\022-\n\004kind\030\001 \001(\016" +
-      "2\037.anvilpick.peer.ClaimState.Kind\022/\n\006ans" +
-      "wer\030\002 \001(\0132\032.anvilpick.peer.KeptAnswerH\000\210" +
-      "\001\001\",\n\004Kind\022\013\n\007RUNNING\020\000\022\010\n\004DONE\020\001\022\r\n\tUNS" +
-      "ETTLED\020\002B\t\n\007_answer\"\263\001\n\005Claim\022%\n\003key\030\001 \001" +
-      "(\0132\030.anvilpick.peer.ClaimKey\022\016\n\006holder\030\002" +
-      " \001(\t\022\023\n\013fingerprint\030\003 \001(\t\022)\n\005state\030\004 \001(\013" +
-      "2\032.anvilpick.peer.ClaimState\022\031\n\021runs_unt" +
-      "il_millis\030\005 \001(\003\022\030\n\020forget_at_millis\030\006 \001(" +
-      "\003\"O\n\tClaimVote\022\r\n\005group\030\001 \001(\005\022\r\n\005epoch\030\002" +
-      " \001(\003\022$\n\005claim\030\003 \001(\0132\025.anvilpick.peer.Cla" +
-      "im\"|\n\013ClaimSettle\022\r\n\005group\030\001 \001(\005\022%\n\003key\030" +
-      "\002 \001(\0132\030.anvilpick.peer.ClaimKey\022\016\n\006holde" +
-      "r\030\003 \001(\t\022\'\n\003end\030\004 \001(\0132\032.anvilpick.peer.Cl" +
-      "aimState\"T\n\014ClaimRelease\022\r\n\005group\030\001 \001(\005\022" +
-      "%\n\003key\030\002 \001(\0132\030.anvilpick.peer.ClaimKey\022\016" +
-      "\n\006holder\030\003 \001(\t\"$\n\004Seal\022\r\n\005group\030\001 \001(\005\022\r\n" +
-      "\005epoch\030\002 \001(\003\"a\n\007Install\022\r\n\005group\030\001 \001(\005\022\r" +
-      "\n\005epoch\030\002 \001(\003\022\021\n\tchange_id\030\003 \001(\t\022%\n\006clai" +
-      "ms\030\004 \003(\0132\025.anvilpick.peer.Claim\"\203\001\n\006Memb" +
-      "er\022\020\n\010instance\030\001 \001(\t\022\024\n\014call_address\030\002 \001" +
-      "(\t\022\024\n\014peer_address\030\003 \001(\t\022\016\n\006region\030\004 \001(\t" +
-      "\022\014\n\004zone\030\005 \001(\t\022\017\n\007leaving\030\006 \001(\010\022\014\n\004beat\030" +
-      "\007 \001(\003\",\n\nMemberBeat\022\020\n\010instance\030\001 \001(\t\022\014\n" +
-      "\004beat\030\002 \001(\003\"b\n\014MemberDigest\022\'\n\007members\030\001" +
-      " \003(\0132\026.anvilpick.peer.Member\022)\n\005beats\030\002 " +
-      "\003(\0132\032.anvilpick.peer.MemberBeat\"\216\001\n\006Goss" +
-      "ip\022\026\n\016config_version\030\001 \001(\003\022\031\n\021claim_map_" +
-      "version\030\002 \001(\003\022\034\n\024leaving_as_of_millis\030\004 " +
-      "\001(\003\022-\n\007members\030\005 \001(\0132\034.anvilpick.peer.Me" +
-      "mberDigestJ\004\010\003\020\004\"6\n\013LeavingList\022\024\n\014as_of" +
-      "_millis\030\001 \001(\003\022\021\n\taddresses\030\002 \003(\t\"\030\n\005Part" +
-      "s\022\017\n\007digests\030\001 \003(\t\"?\n\005Crash\022\023\n\013fingerpri" +
-      "nt\030\001 \001(\t\022\016\n\006target\030\002 \001(\t\022\021\n\tat_millis\030\003 " +
-      "\001(\003\"\035\n\006Acquit\022\023\n\013fingerprint\030\001 \001(\t\"\006\n\004Do" +
-      "ne\"\250\001\n\005Voted\022(\n\004kind\030\001 \001(\0162\032.anvilpick.p" +
-      "eer.Voted.Kind\022*\n\006holder\030\002 \001(\0132\025.anvilpi" +
-      "ck.peer.ClaimH\000\210\001\001\022\r\n\005epoch\030\003 \001(\003\"/\n\004Kin" +
-      "d\022\013\n\007GRANTED\020\000\022\t\n\005TAKEN\020\001\022\017\n\013WRONG_EPOCH" +
-      "\020\002B\t\n\007_holder\"[\n\006Sealed\022\r\n\005group\030\001 \001(\005\022\r" +
-      "\n\005epoch\030\002 \001(\003\022\014\n\004held\030\003 \001(\010\022%\n\006claims\030\004 " +
-      "\003(\0132\025.anvilpick.peer.Claim\"\031\n\tInstalled\022" +
-      "\014\n\004kept\030\001 \001(\010\"-\n\nSignedHead\022\014\n\004head\030\001 \001(" +
-      "\t\022\021\n\tsignature\030\002 \001(\t\"l\n\nClaimGroup\022\r\n\005in" +
-      "dex\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\021\n\tchange_id\030\003 " +
-      "\001(\t\022\033\n\023trusted_from_millis\030\004 \001(\003\022\020\n\010repl" +
-      "icas\030\005 \003(\t\"G\n\010ClaimMap\022\017\n\007version\030\001 \001(\003\022" +
-      "*\n\006groups\030\002 \003(\0132\032.anvilpick.peer.ClaimGr" +
-      "oup\"\254\002\n\013GossipReply\022-\n\004head\030\001 \001(\0132\032.anvi" +
-      "lpick.peer.SignedHeadH\000\210\001\001\0220\n\tclaim_map\030" +
-      "\002 \001(\0132\030.anvilpick.peer.ClaimMapH\001\210\001\001\022\026\n\016" +
-      "config_version\030\003 \001(\003\022\031\n\021claim_map_versio" +
-      "n\030\004 \001(\003\0221\n\007leaving\030\006 \001(\0132\033.anvilpick.pee" +
-      "r.LeavingListH\002\210\001\001\022-\n\007members\030\007 \001(\0132\034.an" +
-      "vilpick.peer.MemberDigestB\007\n\005_headB\014\n\n_c" +
-      "laim_mapB\n\n\010_leavingJ\004\010\005\020\006\"$\n\004Part\022\016\n\006di" +
-      "gest\030\001 \001(\t\022\014\n\004text\030\002 \001(\t\"1\n\nPartsReply\022#" +
-      "\n\005parts\030\001 \003(\0132\024.anvilpick.peer.Part\"\032\n\010R" +
-      "ejected\022\016\n\006reason\030\001 \001(\tB%\n\026io.anvilpick." +
-      "peer.wireB\tPeerProtoP\000b\006proto3"
+      ".AllowanceGrantH\000\0221\n\013not_grantor\030\035 \001(\0132\032" +
+      ".anvilpick.peer.NotGrantorH\000B\006\n\004body\"$\n\006" +
+      "Follow\022\r\n\005after\030\001 \001(\003\022\013\n\003era\030\002 \001(\003\"I\n\nSt" +
+      "oredItem\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022" +
+      "\022\n\005value\030\003 \001(\tH\000\210\001\001B\010\n\006_value\"w\n\010Followe" +
+      "d\022\r\n\005whole\030\001 \001(\010\022\020\n\010revision\030\002 \001(\003\022\022\n\nag" +
+      "e_millis\030\003 \001(\003\022)\n\005items\030\004 \003(\0132\032.anvilpic" +
+      "k.peer.StoredItem\022\013\n\003era\030\005 \001(\003\"+\n\tAllowa" +
+      "nce\022\016\n\006tenant\030\001 \001(\t\022\016\n\006wanted\030\002 \001(\005\"=\n\016A" +
+      "llowanceGrant\022\017\n\007granted\030\001 \001(\005\022\032\n\022retry_" +
+      "after_millis\030\002 \001(\003\"*\n\nNotGrantor\022\034\n\024sett" +
+      "les_after_millis\030\001 \001(\003\"8\n\010ClaimKey\022\017\n\007se" +
+      "rvice\030\001 \001(\t\022\016\n\006tenant\030\002 \001(\t\022\013\n\003key\030\003 \001(\t" +
+      "\"@\n\nKeptAnswer\022\016\n\006status\030\001 \001(\005\022\024\n\014conten" +
+      "t_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\245\001\n\nClaimStat" +
+      "e\022-\n\004kind\030\001 \001(\0162\037.anvilpick.peer.ClaimSt" +
+      "ate.Kind\022/\n\006answer\030\002 \001(\0132\032.anvilpick.pee" +
+      "r.KeptAnswerH\000\210\001\001\",\n\004Kind\022\013\n\007RUNNING\020\000\022\010" +
+      "\n\004DONE\020\001\022\r\n\tUNSETTLED\020\002B\t\n\007_answer\"\263\001\n\005C" +
+      "laim\022%\n\003key\030\001 \001(\0132\030.anvilpick.peer.Claim" +
+      "Key\022\016\n\006holder\030\002 \001(\t\022\023\n\013fingerprint\030\003 \001(\t" +
+      "\022)\n\005state\030\004 \001(\0132\032.anvilpick.peer.ClaimSt" +
+      "ate\022\031\n\021runs_until_millis\030\005 \001(\003\022\030\n\020forget" +
+      "_at_millis\030\006 \001(\003\"O\n\tClaimVote\022\r\n\005group\030\001" +
+      " \001(\005\022\r\n\005epoch\030\002 \001(\003\022$\n\005claim\030\003 \001(\0132\025.anv" +
+      "ilpick.peer.Claim\"|\n\013ClaimSettle\022\r\n\005grou" +
+      "p\030\001 \001(\005\022%\n\003key\030\002 \001(\0132\030.anvilpick.peer.Cl" +
+      "aimKey\022\016\n\006holder\030\003 \001(\t\022\'\n\003end\030\004 \001(\0132\032.an" +
+      "vilpick.peer.ClaimState\"T\n\014ClaimRelease\022" +
+      "\r\n\005group\030\001 \001(\005\022%\n\003key\030\002 \001(\0132\030.anvilpick." +
+      "peer.ClaimKey\022\016\n\006holder\030\003 \001(\t\"$\n\004Seal\022\r\n" +
+      "\005group\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\"a\n\007Install\022\r" +
+      "\n\005group\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\021\n\tchange_i" +
+      "d\030\003 \001(\t\022%\n\006claims\030\004 \003(\0132\025.anvilpick.peer" +
+      ".Claim\"\203\001\n\006Member\022\020\n\010instance\030\001 \001(\t\022\024\n\014c" +
+      "all_address\030\002 \001(\t\022\024\n\014peer_address\030\003 \001(\t\022" +
+      "\016\n\006region\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\022\017\n\007leaving" +
+      "\030\006 \001(\010\022\014\n\004beat\030\007 \001(\003\",\n\nMemberBeat\022\020\n\010in" +
+      "stance\030\001 \001(\t\022\014\n\004beat\030\002 \001(\003\"b\n\014MemberDige" +
+      "st\022\'\n\007members\030\001 \003(\0132\026.anvilpick.peer.Mem" +
+      "ber\022)\n\005beats\030\002 \003(\0132\032.anvilpick.peer.Memb" +
+      "erBeat\"\216\001\n\006Gossip\022\026\n\016config_version\030\001 \001(" +
+      "\003\022\031\n\021claim_map_version\030\002 \001(\003\022\034\n\024leaving_" +
+      "as_of_millis\030\004 \001(\003\022-\n\007members\030\005 \001(\0132\034.an" +
+      "vilpick.peer.MemberDigestJ\004\010\003\020\004\"6\n\013Leavi" +
+      "ngList\022\024\n\014as_of_millis\030\001 \001(\003\022\021\n\taddresse" +
+      "s\030\002 \003(\t\"\030\n\005Parts\022\017\n\007digests\030\001 \003(\t\"?\n\005Cra" +
+      "sh\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006target\030\002 \001(\t\022" +
+      "\021\n\tat_millis\030\003 \001(\003\"\035\n\006Acquit\022\023\n\013fingerpr" +
+      "int\030\001 \001(\t\"\006\n\004Done\"\250\001\n\005Voted\022(\n\004kind\030\001 \001(" +
+      "\0162\032.anvilpick.peer.Voted.Kind\022*\n\006holder\030" +
+      "\002 \001(\0132\025.anvilpick.peer.ClaimH\000\210\001\001\022\r\n\005epo" +
+      "ch\030\003 \001(\003\"/\n\004Kind\022\013\n\007GRANTED\020\000\022\t\n\005TAKEN\020\001" +
+      "\022\017\n\013WRONG_EPOCH\020\002B\t\n\007_holder\"[\n\006Sealed\022\r" +
+      "\n\005group\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\014\n\004held\030\003 \001" +
+      "(\010\022%\n\006claims\030\004 \003(\0132\025.anvilpick.peer.Clai" +
+      "m\"\031\n\tInstalled\022\014\n\004kept\030\001 \001(\010\"-\n\nSignedHe" +
+      "ad\022\014\n\004head\030\001 \001(\t\022\021\n\tsignature\030\002 \001(\t\"l\n\nC" +
+      "laimGroup\022\r\n\005index\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022" +
+      "\021\n\tchange_id\030\003 \001(\t\022\033\n\023trusted_from_milli" +
+      "s\030\004 \001(\003\022\020\n\010replicas\030\005 \003(\t\"G\n\010ClaimMap\022\017\n" +
+      "\007version\030\001 \001(\003\022*\n\006groups\030\002 \003(\0132\032.anvilpi" +
+      "ck.peer.ClaimGroup\"\254\002\n\013GossipReply\022-\n\004he" +
+      "ad\030\001 \001(\0132\032.anvilpick.peer.SignedHeadH\000\210\001" +
+      "\001\0220\n\tclaim_map\030\002 \001(\0132\030.anvilpick.peer.Cl" +
+      "aimMapH\001\210\001\001\022\026\n\016config_version\030\003 \001(\003\022\031\n\021c" +
+      "laim_map_version\030\004 \001(\003\0221\n\007leaving\030\006 \001(\0132" +
+      "\033.anvilpick.peer.LeavingListH\002\210\001\001\022-\n\007mem" +
+      "bers\030\007 \001(\0132\034.anvilpick.peer.MemberDigest" +
+      "B\007\n\005_headB\014\n\n_claim_mapB\n\n\010_leavingJ\004\010\005\020" +
+      "\006\"$\n\004Part\022\016\n\006digest\030\001 \001(\t\022\014\n\004text\030\002 \001(\t\"" +
+      "1\n\nPartsReply\022#\n\005parts\030\001 \003(\0132\024.anvilpick" +
+      ".peer.Part\"\032\n\010Rejected\022\016\n\006reason\030\001 \001(\tB%" +
+      "\n\026io.anvilpick.peer.wireB\tPeerProtoP\000b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -30942,7 +31636,7 @@
     internal_static_anvilpick_peer_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Envelope_descriptor,
-        new java.lang.String[] { "RequestId", "ClaimVote", "ClaimSettle", "ClaimRelease", "Seal", "Install", "Gossip", "Parts", "Crash", "Acquit", "Follow", "Allowance", "Done", "Voted", "Sealed", "Installed", "GossipReply", "PartsReply", "Rejected", "Followed", "AllowanceGrant", "Body", });
+        new java.lang.String[] { "RequestId", "ClaimVote", "ClaimSettle", "ClaimRelease", "Seal", "Install", "Gossip", "Parts", "Crash", "Acquit", "Follow", "Allowance", "Done", "Voted", "Sealed", "Installed", "GossipReply", "PartsReply", "Rejected", "Followed", "AllowanceGrant", "NotGrantor", "Body", });
     internal_static_anvilpick_peer_Follow_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_anvilpick_peer_Follow_fieldAccessorTable = new
@@ -30973,170 +31667,176 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_AllowanceGrant_descriptor,
         new java.lang.String[] { "Granted", "RetryAfterMillis", });
-    internal_static_anvilpick_peer_ClaimKey_descriptor =
+    internal_static_anvilpick_peer_NotGrantor_descriptor =
       getDescriptor().getMessageType(6);
+    internal_static_anvilpick_peer_NotGrantor_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_anvilpick_peer_NotGrantor_descriptor,
+        new java.lang.String[] { "SettlesAfterMillis", });
+    internal_static_anvilpick_peer_ClaimKey_descriptor =
+      getDescriptor().getMessageType(7);
     internal_static_anvilpick_peer_ClaimKey_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimKey_descriptor,
         new java.lang.String[] { "Service", "Tenant", "Key", });
     internal_static_anvilpick_peer_KeptAnswer_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_anvilpick_peer_KeptAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_KeptAnswer_descriptor,
         new java.lang.String[] { "Status", "ContentType", "Body", });
     internal_static_anvilpick_peer_ClaimState_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_anvilpick_peer_ClaimState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimState_descriptor,
         new java.lang.String[] { "Kind", "Answer", });
     internal_static_anvilpick_peer_Claim_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_anvilpick_peer_Claim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Claim_descriptor,
         new java.lang.String[] { "Key", "Holder", "Fingerprint", "State", "RunsUntilMillis", "ForgetAtMillis", });
     internal_static_anvilpick_peer_ClaimVote_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_anvilpick_peer_ClaimVote_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimVote_descriptor,
         new java.lang.String[] { "Group", "Epoch", "Claim", });
     internal_static_anvilpick_peer_ClaimSettle_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_anvilpick_peer_ClaimSettle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimSettle_descriptor,
         new java.lang.String[] { "Group", "Key", "Holder", "End", });
     internal_static_anvilpick_peer_ClaimRelease_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_anvilpick_peer_ClaimRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimRelease_descriptor,
         new java.lang.String[] { "Group", "Key", "Holder", });
     internal_static_anvilpick_peer_Seal_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_anvilpick_peer_Seal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Seal_descriptor,
         new java.lang.String[] { "Group", "Epoch", });
     internal_static_anvilpick_peer_Install_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_anvilpick_peer_Install_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Install_descriptor,
         new java.lang.String[] { "Group", "Epoch", "ChangeId", "Claims", });
     internal_static_anvilpick_peer_Member_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_anvilpick_peer_Member_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Member_descriptor,
         new java.lang.String[] { "Instance", "CallAddress", "PeerAddress", "Region", "Zone", "Leaving", "Beat", });
     internal_static_anvilpick_peer_MemberBeat_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_anvilpick_peer_MemberBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_MemberBeat_descriptor,
         new java.lang.String[] { "Instance", "Beat", });
     internal_static_anvilpick_peer_MemberDigest_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_anvilpick_peer_MemberDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_MemberDigest_descriptor,
         new java.lang.String[] { "Members", "Beats", });
     internal_static_anvilpick_peer_Gossip_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_anvilpick_peer_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Gossip_descriptor,
         new java.lang.String[] { "ConfigVersion", "ClaimMapVersion", "LeavingAsOfMillis", "Members", });
     internal_static_anvilpick_peer_LeavingList_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_anvilpick_peer_LeavingList_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_LeavingList_descriptor,
         new java.lang.String[] { "AsOfMillis", "Addresses", });
     internal_static_anvilpick_peer_Parts_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_anvilpick_peer_Parts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Parts_descriptor,
         new java.lang.String[] { "Digests", });
     internal_static_anvilpick_peer_Crash_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_anvilpick_peer_Crash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Crash_descriptor,
         new java.lang.String[] { "Fingerprint", "Target", "AtMillis", });
     internal_static_anvilpick_peer_Acquit_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_anvilpick_peer_Acquit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Acquit_descriptor,
         new java.lang.String[] { "Fingerprint", });
     internal_static_anvilpick_peer_Done_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_anvilpick_peer_Done_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Done_descriptor,
         new java.lang.String[] { });
     internal_static_anvilpick_peer_Voted_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_anvilpick_peer_Voted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Voted_descriptor,
         new java.lang.String[] { "Kind", "Holder", "Epoch", });
     internal_static_anvilpick_peer_Sealed_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_anvilpick_peer_Sealed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Sealed_descriptor,
         new java.lang.String[] { "Group", "Epoch", "Held", "Claims", });
     internal_static_anvilpick_peer_Installed_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_anvilpick_peer_Installed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Installed_descriptor,
         new java.lang.String[] { "Kept", });
     internal_static_anvilpick_peer_SignedHead_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_anvilpick_peer_SignedHead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_SignedHead_descriptor,
         new java.lang.String[] { "Head", "Signature", });
     internal_static_anvilpick_peer_ClaimGroup_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_anvilpick_peer_ClaimGroup_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimGroup_descriptor,
         new java.lang.String[] { "Index", "Epoch", "ChangeId", "TrustedFromMillis", "Replicas", });
     internal_static_anvilpick_peer_ClaimMap_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_anvilpick_peer_ClaimMap_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_ClaimMap_descriptor,
         new java.lang.String[] { "Version", "Groups", });
     internal_static_anvilpick_peer_GossipReply_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_anvilpick_peer_GossipReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_GossipReply_descriptor,
         new java.lang.String[] { "Head", "ClaimMap", "ConfigVersion", "ClaimMapVersion", "Leaving", "Members", });
     internal_static_anvilpick_peer_Part_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_anvilpick_peer_Part_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Part_descriptor,
         new java.lang.String[] { "Digest", "Text", });
     internal_static_anvilpick_peer_PartsReply_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_anvilpick_peer_PartsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_PartsReply_descriptor,
         new java.lang.String[] { "Parts", });
     internal_static_anvilpick_peer_Rejected_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_anvilpick_peer_Rejected_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_anvilpick_peer_Rejected_descriptor,
