Entry daemons limit tenants to their allowances

EntryDaemon builds the limiter and passes it to EntryRunner, EntryPeers grants tokens to other daemons, and the settings may state the window, the overshoot and the slack. A daemon whose configuration has no tenants runs nothing more than before.

--- a/anvilpick-core/src/main/java/io/anvilpick/allowances/AllowanceGrantor.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/allowances/AllowanceGrantor.java
@@ -21,6 +21,14 @@
 public final class AllowanceGrantor {
     private static final int SHARDS = 16;
 
+    /**
+     * Tokens that a small bucket holds beyond its part of the burst, and the capacity up to which it does. A bucket of one token is
+     * full, and loses what its rate adds, whenever the next request comes a little late.
+     */
+    private static final double EXTRA_CAPACITY = 2;
+
+    private static final double SMALL_CAPACITY = 3;
+
     /** Time of the rate that a bucket holds at least. Holders return to an empty grantor after a little less. */
     private static final double MIN_CAPACITY_SECONDS = 0.05;
 
@@ -35,6 +43,7 @@
         private long version = -1;
         private boolean isGrantor;
         private int grantorCount;
+        private double rateFactor;
         private Optional<Allowance> allowance = Optional.empty();
 
         private GrantorState(long nowNanos) {
@@ -102,16 +111,22 @@
             }
         }
         int grantorCount = selection.grantorCount();
-        if (state.grantorCount != grantorCount || !state.allowance.equals(allowance)) {
+        double rateFactor = members.rateFactor();
+        if (state.grantorCount != grantorCount
+                || state.rateFactor != rateFactor
+                || !state.allowance.equals(allowance)) {
             state.grantorCount = grantorCount;
+            state.rateFactor = rateFactor;
             state.allowance = allowance;
             allowance.ifPresent(each -> configure(state, each));
         }
     }
 
     private void configure(GrantorState state, Allowance allowance) {
-        double rate = allowance.ratePerSecond() / state.grantorCount;
-        double capacity = Math.max(allowance.burst() / state.grantorCount, Math.max(1, rate * MIN_CAPACITY_SECONDS));
+        double rate = allowance.ratePerSecond() / state.grantorCount * state.rateFactor;
+        double burst = allowance.burst() / state.grantorCount;
+        double small = Math.min(burst + EXTRA_CAPACITY, SMALL_CAPACITY);
+        double capacity = Math.max(Math.max(burst, small), rate * MIN_CAPACITY_SECONDS);
         state.bucket.configure(rate, capacity, time.nanos());
     }
 
--- a/anvilpick-core/src/main/java/io/anvilpick/allowances/GrantorMembers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/allowances/GrantorMembers.java
@@ -35,6 +35,12 @@
     /** Time from the registration until a daemon grants that found no other daemon, or that returns and is known to the others. */
     static final Duration SHORT_SETTLE_TIME = Duration.ofSeconds(3);
 
+    /**
+     * The part of its rate that a daemon grants after a restart, until {@link #SETTLE_TIME} has passed. Its registration may be so
+     * recent that the others do not count it yet.
+     */
+    private static final double RESTARTED_RATE_FACTOR = 0.5;
+
     /** Time after the first read within which daemons register that found no other daemon. */
     private static final Duration FOUNDING_TIME = Duration.ofSeconds(5);
 
@@ -59,6 +65,7 @@
     private long firstViewNanos;
     private boolean selfInView;
     private boolean everRegistered;
+    private boolean restarted;
     private boolean registered;
     private boolean suspended;
     private long checkedNanos;
@@ -105,7 +112,8 @@
     /** Records a new view. Views are observed in their order. */
     public void observe(FleetView view) {
         long now = time.nanos();
-        long previousReadNanos = now - viewAge.get().toNanos();
+        Duration previousAge = viewAge.get();
+        long previousReadNanos = now - previousAge.toNanos();
         lock.lock();
         try {
             if (!viewSeen) {
@@ -125,7 +133,7 @@
                         each.goneNanos = now;
                     });
             selfInView = present.contains(self);
-            checkSelf(now);
+            checkSelf(now, previousAge);
             select(now);
         } finally {
             lock.unlock();
@@ -135,9 +143,10 @@
     /** Checks whether this daemon is still registered. Called at least once a second while the process runs. */
     public void check() {
         long now = time.nanos();
+        Duration age = viewAge.get();
         lock.lock();
         try {
-            checkSelf(now);
+            checkSelf(now, age);
         } finally {
             lock.unlock();
         }
@@ -164,13 +173,25 @@
         }
     }
 
+    /** Returns the part of its rate at which this daemon grants. */
+    double rateFactor() {
+        long now = time.nanos();
+        lock.lock();
+        try {
+            restarted = restarted && now - firstViewNanos < SETTLE_TIME.toNanos();
+            return restarted ? RESTARTED_RATE_FACTOR : 1;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Returns whether this daemon may grant tokens of the tenants whose grantor it is. */
     boolean mayGrant() {
         long now = time.nanos();
         Duration age = viewAge.get();
         lock.lock();
         try {
-            checkSelf(now);
+            checkSelf(now, age);
             return registered && now - grantFromNanos >= 0 && age.compareTo(MAX_VIEW_AGE) <= 0;
         } finally {
             lock.unlock();
@@ -230,7 +251,7 @@
         daemon.gone = false;
     }
 
-    private void checkSelf(long now) {
+    private void checkSelf(long now, Duration age) {
         if (now - checkedNanos > SUSPENDED_AFTER.toNanos()) {
             suspended = true;
         }
@@ -242,9 +263,10 @@
             registered = false;
             return;
         }
-        long proven = now - viewAge.get().toNanos();
+        long proven = now - age.toNanos();
         if (!everRegistered) {
             everRegistered = true;
+            restarted = now == firstViewNanos;
             grantFromNanos = now + firstSettleTime(now).toNanos();
         } else if (proven - provenNanos > MAX_UNPROVEN.toNanos()) {
             Duration wait = suspended ? SETTLE_TIME : SHORT_SETTLE_TIME;
@@ -258,7 +280,7 @@
     }
 
     private Duration firstSettleTime(long now) {
-        if (now == firstViewNanos) {
+        if (restarted) {
             return Duration.ZERO;
         }
         boolean founding = foundNoDaemon && now - firstViewNanos <= FOUNDING_TIME.toNanos();
--- a/anvilpick-core/src/main/java/io/anvilpick/allowances/PeerAllowanceLimiter.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/allowances/PeerAllowanceLimiter.java
@@ -134,8 +134,8 @@
         boolean left = update(tenant, tokens -> tokens.leave(waiter));
         if (!left) {
             waiter.decision().thenAccept(decision -> {
-                if (decision instanceof TenantTokens.TokenDecision.Granted(long expiresNanos)) {
-                    giveBack(tenant, expiresNanos);
+                if (decision instanceof TenantTokens.TokenDecision.Granted granted) {
+                    giveBack(tenant, granted.expiresNanos());
                 }
             });
         }
@@ -192,7 +192,7 @@
     private void send(Tenant tenant, TenantTokens.Ask ask, AllowanceRequest request) {
         counts.requested();
         Deadline deadline = new Deadline(ask.sentNanos() + ANSWER_TIMEOUT.toNanos());
-        peers.send(ask.grantor().peerAddress(), request, deadline).whenComplete((reply, failure) -> {
+        reply(ask, request, deadline).whenComplete((reply, failure) -> {
             if (failure == null) {
                 perform(tenant, afterReply(tenant, ask, reply));
                 return;
@@ -205,9 +205,19 @@
         });
     }
 
+    /** Sends {@code request}. An address that cannot be used is a failure like others, after which the next grantor is asked. */
+    private CompletableFuture<PeerReply> reply(TenantTokens.Ask ask, AllowanceRequest request, Deadline deadline) {
+        try {
+            return peers.send(ask.grantor().peerAddress(), request, deadline);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
     private TenantTokens.Actions afterReply(Tenant tenant, TenantTokens.Ask ask, PeerReply reply) {
-        if (reply instanceof PeerReply.NotGrantor(Duration settlesAfter) && settlesAfter.isPositive()) {
-            members.reportUnsettled(ask.grantor().name(), settlesAfter);
+        if (reply instanceof PeerReply.NotGrantor refusal
+                && refusal.settlesAfter().isPositive()) {
+            members.reportUnsettled(ask.grantor().name(), refusal.settlesAfter());
         }
         GrantorSelection selection = members.forHolder();
         return update(tenant, tokens -> tokens.replied(ask, reply, tenant, selection, time.nanos()));
--- a/anvilpick-core/src/main/java/io/anvilpick/allowances/TenantTokens.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/allowances/TenantTokens.java
@@ -226,7 +226,7 @@
     /** Returns the shortest time until a grantor that works has a token; empty if none of them has answered. */
     private Optional<Duration> untilAvailable(Round ended, long now) {
         boolean known = ended.answered;
-        long shortest = MAX_RETRY_AFTER.toNanos();
+        long shortest = MIN_RETRY_AFTER.toNanos();
         boolean found = false;
         for (EntryMember grantor : grantors) {
             Memory memory = memoryOf(grantor, now);
--- a/anvilpick-core/src/main/java/io/anvilpick/allowances/TokenBucket.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/allowances/TokenBucket.java
@@ -19,9 +19,11 @@
         this.refilledAtNanos = nowNanos;
     }
 
-    /** Sets rate and capacity. Tokens above the capacity are lost. */
+    /** Sets rate and capacity. Tokens above the capacity are lost. The first rate counts from the creation of the bucket. */
     void configure(double newRatePerSecond, double newCapacity, long nowNanos) {
-        refill(nowNanos);
+        if (ratePerSecond > 0) {
+            refill(nowNanos);
+        }
         ratePerSecond = newRatePerSecond;
         capacity = newCapacity;
         tokens = Math.min(tokens, capacity);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.linecorp.armeria.common.CommonPools;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
@@ -11,7 +12,10 @@
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
+import io.anvilpick.allowances.AllowanceGrantor;
 import io.anvilpick.allowances.AllowanceLimiter;
+import io.anvilpick.allowances.GrantorMembers;
+import io.anvilpick.allowances.PeerAllowanceLimiter;
 import io.anvilpick.calls.Sender;
 import io.anvilpick.crashes.CrashHistory;
 import io.anvilpick.daemon.metrics.EntryMetrics;
@@ -35,6 +39,8 @@
 import io.anvilpick.limits.HeldBytes;
 import io.anvilpick.peer.PeerClient;
 import io.anvilpick.peer.PeerServer;
+import io.anvilpick.routes.RouteConfiguration;
+import io.anvilpick.tenants.TenantTable;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
 import io.netty.channel.EventLoopGroup;
@@ -86,6 +92,7 @@
     private final FleetState state;
     private final ViewFreshness freshness;
     private final FleetFollower follower;
+    private final GrantorMembers grantorMembers;
     private final EntryPeers peers;
     private final EventLoopGroup loops = CommonPools.workerGroup();
     private final MemberRegistrar registrar;
@@ -102,13 +109,26 @@
                 SplittableRandom::new,
                 initial.extraCalls(),
                 initial.self().zone());
-        this.state = new FleetState(time, dispatchers::update);
         this.freshness = new ViewFreshness(time, initial.watchTimes().bound());
+        this.grantorMembers =
+                new GrantorMembers(time, initial.self().name(), freshness::provenAge, this::lapsedMembers);
+        this.state = new FleetState(time, this::update);
         RelayLog relayLog = new RelayLog(time);
         PeerClient peerClient = new PeerClient(loops, time);
         CrashHistory crashes = new CrashHistory(time);
-        this.peers =
-                new EntryPeers(new EntryPeers.Parts(peerClient, state::view, initial.self(), relayLog, crashes, time));
+        AllowanceGrantor grantor =
+                new AllowanceGrantor(time, initial.self().name(), grantorMembers, this::activeTenants);
+        this.peers = new EntryPeers(
+                new EntryPeers.Parts(peerClient, state::view, initial.self(), relayLog, crashes, grantor, time));
+        AllowanceLimiter allowances = new PeerAllowanceLimiter(new PeerAllowanceLimiter.Parts(
+                time,
+                initial.self().name(),
+                grantorMembers,
+                grantor,
+                peerClient,
+                initial.allowanceBounds(),
+                metrics.allowanceCounts(),
+                SplittableRandom::new));
         FleetRelays relays = new FleetRelays(peerClient, state::view, initial.self(), time);
         this.follower = FleetFollower.of(new FleetFollower.Parts(
                 store,
@@ -122,7 +142,7 @@
         this.registrar = new MemberRegistrar(store, state, initial.self());
         this.addressSelector = new EntryAddressSelector(state::view, initial.self());
         HeldBytes heldBodies = HeldBytes.atMost((long) (Runtime.getRuntime().maxMemory() * BODY_LIMIT_HEAP_SHARE));
-        this.runner = newRunner(headers, crashes, heldBodies);
+        this.runner = newRunner(headers, crashes, heldBodies, allowances);
         this.server = newServer(builder, headers, heldBodies);
         registerGauges();
     }
@@ -132,7 +152,21 @@
         return new Builder();
     }
 
-    private EntryRunner newRunner(TargetHeaders headers, CrashHistory history, HeldBytes heldBodies) {
+    private ImmutableSet<String> lapsedMembers() {
+        return state.lapsedMembers();
+    }
+
+    private TenantTable activeTenants() {
+        return state.view().configuration().map(RouteConfiguration::tenants).orElseGet(TenantTable::none);
+    }
+
+    private void update(FleetView view) {
+        grantorMembers.observe(view);
+        dispatchers.update(view);
+    }
+
+    private EntryRunner newRunner(
+            TargetHeaders headers, CrashHistory history, HeldBytes heldBodies, AllowanceLimiter allowances) {
         NettyTargetClient targets = new NettyTargetClient(loops, headers, time, heldBodies);
         EntryCrashGuard crashes = new EntryCrashGuard(history, targets, peers::reportCrash, time);
         EntryEvents events = new EntryEvents(metrics, time);
@@ -147,7 +181,7 @@
                 events,
                 time,
                 new RequestAuthorizer(headers.tenants(), freshness::isOld),
-                AllowanceLimiter.unlimited()));
+                allowances));
     }
 
     private Server newServer(Builder builder, TargetHeaders headers, HeldBytes heldBodies) {
@@ -209,6 +243,7 @@
         startLoop("membership", registrar::step);
         startLoop("expiry", () -> {
             state.expire();
+            grantorMembers.check();
             return EXPIRY_INTERVAL;
         });
         startLoop("freshness", () -> {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryPeers.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryPeers.java
@@ -1,11 +1,13 @@
 package io.anvilpick.daemon.entry;
 
 import com.google.common.net.HostAndPort;
+import io.anvilpick.allowances.AllowanceGrantor;
 import io.anvilpick.crashes.CrashHistory;
 import io.anvilpick.crashes.CrashReport;
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.fleet.RelayLog;
+import io.anvilpick.messages.AllowanceRequest;
 import io.anvilpick.messages.CrashReportRequest;
 import io.anvilpick.messages.PeerHandler;
 import io.anvilpick.messages.PeerReply;
@@ -20,7 +22,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * Serves updates read from the store to the other entry daemons, and exchanges crash reports with them. Thread safe.
+ * Serves updates read from the store and tokens of tenants to the other entry daemons, and exchanges crash reports with them. Thread
+ * safe.
  */
 final class EntryPeers implements PeerHandler {
     private static final Logger LOG = Logger.getLogger(EntryPeers.class);
@@ -33,6 +36,7 @@
     private final EntryMember self;
     private final RelayLog log;
     private final CrashHistory crashes;
+    private final AllowanceGrantor allowances;
     private final TimeSource time;
 
     EntryPeers(Parts parts) {
@@ -41,6 +45,7 @@
         this.self = parts.self();
         this.log = parts.log();
         this.crashes = parts.crashes();
+        this.allowances = parts.allowances();
         this.time = parts.time();
     }
 
@@ -51,6 +56,7 @@
      * @param view the current view, with the members to send to
      * @param log the items that this daemon has read from the store
      * @param crashes the crashes recorded in this daemon
+     * @param allowances grants tokens of tenants to other daemons
      */
     record Parts(
             PeerTransport peers,
@@ -58,6 +64,7 @@
             EntryMember self,
             RelayLog log,
             CrashHistory crashes,
+            AllowanceGrantor allowances,
             TimeSource time) {}
 
     @Override
@@ -72,6 +79,7 @@
                 LOG.infof("event=crash_heard target=%s news=%b", crash.report().target(), isNew);
                 yield new PeerReply.Acknowledged();
             }
+            case AllowanceRequest allowance -> allowances.grant(allowance);
             default -> new PeerReply.Rejected("request: entry daemons do not serve it");
         };
     }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
@@ -4,6 +4,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableSet;
+import io.anvilpick.allowances.AllowanceBounds;
 import io.anvilpick.entry.SharedBudget;
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.WatchTimes;
@@ -23,6 +24,7 @@
  * @param grace time from the stop signal until the process is killed
  * @param addressesGoodFor time for which callers may cache an answer of the directory
  * @param watchTimes how long the daemon waits for changes of the store; a change needs a restart
+ * @param allowanceBounds how far tenants may exceed their allowances; a change needs a restart
  */
 public record EntrySettings(
         EntryMember self,
@@ -31,7 +33,8 @@
         SharedBudget extraCalls,
         Duration grace,
         Duration addressesGoodFor,
-        WatchTimes watchTimes) {
+        WatchTimes watchTimes,
+        AllowanceBounds allowanceBounds) {
     public EntrySettings {
         checkArgument(grace.isPositive(), "grace must be positive: %s", grace);
         checkArgument(addressesGoodFor.isPositive(), "addressesGoodFor must be positive: %s", addressesGoodFor);
@@ -47,7 +50,14 @@
         SharedBudget budget =
                 new SharedBudget(next.extraCalls.ratio(), next.extraCalls.allowance(), extraCalls.window());
         return new EntrySettings(
-                self, callAddress, metricsAddress, budget, next.grace, next.addressesGoodFor, watchTimes);
+                self,
+                callAddress,
+                metricsAddress,
+                budget,
+                next.grace,
+                next.addressesGoodFor,
+                watchTimes,
+                allowanceBounds);
     }
 
     /** Returns the names of the settings that differ in {@code other}. */
@@ -60,6 +70,7 @@
         addIfDifferent(names, "grace", grace, other.grace);
         addIfDifferent(names, "addressesGoodFor", addressesGoodFor, other.addressesGoodFor);
         addIfDifferent(names, "watchTimes", watchTimes, other.watchTimes);
+        addIfDifferent(names, "allowanceBounds", allowanceBounds, other.allowanceBounds);
         return names.build();
     }
 
@@ -79,6 +90,8 @@
         private @Nullable Duration addressesGoodFor;
         private WatchTimes watchTimes = WatchTimes.within(Optional.empty(), Optional.empty());
 
+        private AllowanceBounds allowanceBounds = AllowanceBounds.DEFAULT;
+
         private Builder(EntryMember self) {
             this.self = self;
         }
@@ -119,6 +132,12 @@
             return this;
         }
 
+        /** Sets how far tenants may exceed their allowances. */
+        public Builder allowanceBounds(AllowanceBounds value) {
+            allowanceBounds = value;
+            return this;
+        }
+
         /**
          * Returns the settings.
          *
@@ -133,7 +152,8 @@
                     checkNotNull(extraCalls, "extraCalls"),
                     checkNotNull(grace, "grace"),
                     checkNotNull(addressesGoodFor, "addressesGoodFor"),
-                    watchTimes);
+                    watchTimes,
+                    allowanceBounds);
         }
     }
 }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/EntryMetrics.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/EntryMetrics.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import io.anvilpick.allowances.AllowanceCounts;
 import io.anvilpick.entry.EntryCounts;
 import io.anvilpick.error.ErrorKind;
 import io.anvilpick.fleet.UnreadableCounts;
@@ -27,6 +28,10 @@
                     new MapperConfig("retries.*", "anvilpick_retries", Map.of("service", "${0}")),
                     new MapperConfig("hedges.*", "anvilpick_hedges", Map.of("service", "${0}")),
                     new MapperConfig("loopFaults.*", "anvilpick_loop_faults", Map.of("loop", "${0}")),
+                    new MapperConfig("allowance.granted.*", "anvilpick_allowance_granted", Map.of("tenant", "${0}")),
+                    new MapperConfig("allowance.refused.*", "anvilpick_allowance_refused", Map.of("tenant", "${0}")),
+                    new MapperConfig(
+                            "allowance.unanswered.*", "anvilpick_allowance_unanswered", Map.of("tenant", "${0}")),
                     new MapperConfig("unreadable.*", "anvilpick_unreadable_entries", Map.of("kind", "${0}"))));
 
     @Override
@@ -58,6 +63,11 @@
         registry.counter(MetricRegistry.name("hedges", service)).inc();
     }
 
+    /** Returns the counts of decisions on requests of tenants. */
+    public AllowanceCounts allowanceCounts() {
+        return new AllowanceMetrics(registry);
+    }
+
     /** Counts an error in the background loop {@code name}. */
     public void loopFault(String name) {
         registry.counter(MetricRegistry.name("loopFaults", name)).inc();
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryPeersTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryPeersTest.java
@@ -5,20 +5,28 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.anvilpick.allowances.AllowanceGrantor;
+import io.anvilpick.allowances.GrantorMembers;
 import io.anvilpick.crashes.CrashHistory;
 import io.anvilpick.crashes.CrashReport;
 import io.anvilpick.crashes.CrashStatus;
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.fleet.RelayLog;
+import io.anvilpick.messages.AllowanceRequest;
 import io.anvilpick.messages.CrashClearedRequest;
 import io.anvilpick.messages.CrashReportRequest;
 import io.anvilpick.messages.PeerException;
 import io.anvilpick.messages.PeerReply;
 import io.anvilpick.messages.PeerRequest;
 import io.anvilpick.messages.StoreUpdateRequest;
+import io.anvilpick.tenants.Allowance;
+import io.anvilpick.tenants.Tenant;
+import io.anvilpick.tenants.TenantTable;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.ManualTimeSource;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -33,8 +41,17 @@
     private final ManualTimeSource time = ManualTimeSource.startingAt(0);
     private final CrashHistory crashes = new CrashHistory(time);
     private final List<String> sent = new ArrayList<>();
-    private final EntryPeers peers = new EntryPeers(
-            new EntryPeers.Parts(this::send, EntryPeersTest::view, SELF, new RelayLog(time), crashes, time));
+    private final GrantorMembers grantors =
+            new GrantorMembers(time, SELF.name(), () -> Duration.ZERO, ImmutableSet::of);
+    private final AllowanceGrantor allowances =
+            new AllowanceGrantor(time, SELF.name(), grantors, EntryPeersTest::tenants);
+    private final EntryPeers peers = new EntryPeers(new EntryPeers.Parts(
+            this::send, EntryPeersTest::view, SELF, new RelayLog(time), crashes, allowances, time));
+
+    private static TenantTable tenants() {
+        Tenant tenant = new Tenant("t", 0, Optional.of(new Allowance(10, 10)));
+        return TenantTable.builder().add(tenant, ImmutableSet.of()).build();
+    }
 
     private static FleetView view() {
         return new FleetView(Optional.empty(), ImmutableMap.of(), ImmutableList.of(SELF, OTHER));
@@ -65,6 +82,15 @@
         assertInstanceOf(PeerReply.Rejected.class, peers.handle(new StoreUpdateRequest(-1)));
     }
 
+    @Test
+    void grantsTokensToOtherDaemonsWhileRegistered() {
+        AllowanceRequest request = new AllowanceRequest("t", 3);
+        assertInstanceOf(PeerReply.NotGrantor.class, peers.handle(request));
+        grantors.observe(view());
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(3, ((PeerReply.AllowanceGrant) peers.handle(request)).granted());
+    }
+
     @Test
     void rejectsRequestsThatOnlyDaemonsWithClaimsSupport() {
         assertInstanceOf(PeerReply.Rejected.class, peers.handle(new CrashClearedRequest("print")));
