--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.anvilpick.routes.RouteConfiguration;
 import io.anvilpick.time.TimeSource;
 import java.time.Duration;
@@ -63,6 +64,7 @@
     private long lastAnswerNanos;
     private volatile long era = NO_ERA;
     private volatile FleetView view = FleetView.empty();
+    private volatile ImmutableSet<String> lapsedMembers = ImmutableSet.of();
 
     /** The last view that the listener has taken. It is another object than {@link #view} until the listener has taken that. */
     private FleetView deliveredView = view;
@@ -91,6 +93,14 @@
         return view;
     }
 
+    /**
+     * Returns the names of the daemons in the view whose registrations have lapsed. They stay in the view because they may register
+     * again; other daemons may have removed them.
+     */
+    public ImmutableSet<String> lapsedMembers() {
+        return lapsedMembers;
+    }
+
     /** Returns how often an unreadable item was read. */
     public UnreadableCounts unreadableCounts() {
         return unreadable.counts();
@@ -284,6 +294,7 @@
     }
 
     private void publish() {
+        lapsedMembers = members.lapsed();
         FleetView next = currentView();
         if (!Objects.equals(next, view)) {
             view = next;
@@ -371,6 +382,10 @@
                     .forEach(this::lapse);
         }
 
+        private ImmutableSet<String> lapsed() {
+            return ImmutableSet.copyOf(lapsed.keySet());
+        }
+
         private boolean hasLapsed() {
             return !lapsed.isEmpty();
         }
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/FleetFollower.java
@@ -116,6 +116,7 @@
     }
 
     private Duration follow() throws InterruptedException {
+        freshness.recordReadStart();
         Optional<EntryMember> relay = relays.assignedRelay();
         if (relay.isPresent() && relaySkipEnd.hasPassed(time) && followRelay(relay.get())) {
             return WatchTimes.RELAY_POLL_INTERVAL;
