Tests of store updates without an era and of response headers

Cause: no test showed that messages of a build without eras count as era 0, nor that header names are found in any case. Change: one test in PeerCodecTest and one in HttpServerClientTest. No test failed first: both describe what is already so.

--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/http/HttpServerClientTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/http/HttpServerClientTest.java
@@ -20,6 +20,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterAll;
@@ -91,6 +92,16 @@
         assertTrue(request.contains("content-type: application/json\n"), request);
     }
 
+    /** Guards against a header that is not found because the server spells its name otherwise. */
+    @Test
+    void returnsTheHeadersOfTheFinalResponseByNameInLowerCase() {
+        server.enqueue(
+                "HTTP/1.1 102 Wait\r\nAny-Name: 1\r\n\r\n"
+                        + "HTTP/1.1 200 OK\r\nAny-Name: 2\r\nANY-NAME: 3\r\ncontent-length: 0\r\n\r\n",
+                Ending.KEEP);
+        assertEquals(List.of("2", "3"), answered(get()).headers().get("any-name"));
+    }
+
     @Test
     void skipsInterimResponses() {
         server.enqueue("HTTP/1.1 102 Wait\r\n\r\n" + EMPTY_ANSWER, Ending.KEEP);
--- a/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
+++ b/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
@@ -117,6 +117,22 @@
         }
     }
 
+    /** Guards against a daemon that cannot follow, or relay to, one of a build without eras. */
+    @Test
+    void storeUpdatesWithoutAnEraAreOfEraZero() {
+        PeerProto.Envelope request = PeerProto.Envelope.newBuilder()
+                .setFollow(PeerProto.Follow.newBuilder().setAfter(7))
+                .build();
+        assertEquals(Optional.of(new StoreUpdateRequest(new StoreRevision(0, 7))), PeerCodec.decodeRequest(request));
+        PeerProto.Envelope reply = PeerProto.Envelope.newBuilder()
+                .setFollowed(PeerProto.Followed.newBuilder().setWhole(true).setRevision(9))
+                .build();
+        FleetUpdate update = new FleetUpdate.FullState(ImmutableList.of(), new StoreRevision(0, 9));
+        assertEquals(
+                Optional.of(new PeerReply.StoreUpdate(new RelayedUpdate(update, Duration.ZERO))),
+                PeerCodec.decodeReply(reply));
+    }
+
     @Test
     void storedAnswerIsUnchangedByTheRoundTrip() {
         StoredAnswer kept = new StoredAnswer(201, "text/plain", new byte[] {0, 1, -1});
