--- a/anvilpick-core/src/main/java/io/anvilpick/allowances/GrantorMembers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/allowances/GrantorMembers.java
@@ -32,7 +32,7 @@
     /** Time from a first registration until the daemon grants. Views without it have expired by then. */
     static final Duration SETTLE_TIME = Duration.ofSeconds(20);
 
-    /** Time from the registration until a daemon grants that found no other daemon, or that returns and is known to the others. */
+    /** Time from the registration until a daemon grants that found no other daemon, and may thus be the first. */
     static final Duration SHORT_SETTLE_TIME = Duration.ofSeconds(3);
 
     /**
@@ -44,12 +44,15 @@
     /** Time after the first read within which daemons register that found no other daemon. */
     private static final Duration FOUNDING_TIME = Duration.ofSeconds(5);
 
+    /**
+     * Time within which the first read of a daemon succeeds that may conclude from it that there are no other daemons. After an outage
+     * of the store, registrations have lapsed although the daemons are alive.
+     */
+    private static final Duration MAX_FIRST_READ_TIME = Duration.ofSeconds(2);
+
     /** Time without a read that shows its registration after which the others may have ceased to count a daemon. */
     private static final Duration MAX_UNPROVEN = Duration.ofSeconds(19);
 
-    /** Time between two checks after which the process counts as having been suspended. */
-    private static final Duration SUSPENDED_AFTER = Duration.ofSeconds(3);
-
     /** Time for which the names of daemons that disappeared are remembered. */
     private static final Duration NAME_MEMORY = Duration.ofMinutes(10);
 
@@ -60,6 +63,7 @@
     private final Supplier<ImmutableSet<String>> lapsed;
     private final Map<String, Known> known = new TreeMap<>();
 
+    private final long createdNanos;
     private boolean viewSeen;
     private boolean foundNoDaemon;
     private long firstViewNanos;
@@ -67,8 +71,6 @@
     private boolean everRegistered;
     private boolean restarted;
     private boolean registered;
-    private boolean suspended;
-    private long checkedNanos;
     private long provenNanos;
     private long grantFromNanos;
     private long nextChangeNanos;
@@ -103,9 +105,9 @@
         this.self = self;
         this.viewAge = viewAge;
         this.lapsed = lapsed;
-        this.checkedNanos = time.nanos();
-        this.provenNanos = checkedNanos;
-        this.grantorSelection = new GrantorSelection(0, checkedNanos, ImmutableList.of());
+        this.createdNanos = time.nanos();
+        this.provenNanos = createdNanos;
+        this.grantorSelection = new GrantorSelection(0, createdNanos, ImmutableList.of(), 0);
         this.holderSelection = grantorSelection;
     }
 
@@ -119,7 +121,9 @@
             if (!viewSeen) {
                 viewSeen = true;
                 firstViewNanos = now;
-                foundNoDaemon = view.members().isEmpty();
+                boolean readAtOnce = now - createdNanos <= MAX_FIRST_READ_TIME.toNanos();
+                foundNoDaemon = readAtOnce && view.members().isEmpty();
+                restarted = view.members().stream().anyMatch(each -> each.name().equals(self));
             }
             Set<String> present = new HashSet<>();
             for (EntryMember member : view.members()) {
@@ -252,10 +256,6 @@
     }
 
     private void checkSelf(long now, Duration age) {
-        if (now - checkedNanos > SUSPENDED_AFTER.toNanos()) {
-            suspended = true;
-        }
-        checkedNanos = now;
         if (!viewSeen) {
             return;
         }
@@ -266,15 +266,12 @@
         long proven = now - age.toNanos();
         if (!everRegistered) {
             everRegistered = true;
-            restarted = now == firstViewNanos;
             grantFromNanos = now + firstSettleTime(now).toNanos();
         } else if (proven - provenNanos > MAX_UNPROVEN.toNanos()) {
-            Duration wait = suspended ? SETTLE_TIME : SHORT_SETTLE_TIME;
-            grantFromNanos = Math.max(grantFromNanos - now, wait.toNanos()) + now;
+            grantFromNanos = now + SETTLE_TIME.toNanos();
         }
         if (proven - provenNanos > 0) {
             provenNanos = proven;
-            suspended = false;
         }
         registered = true;
     }
@@ -311,10 +308,12 @@
                 candidates.add(daemon.member);
             }
         }
+        int daemons = (int)
+                known.values().stream().filter(each -> isCounted(each, now)).count();
         if (candidates.equals(before.candidates())) {
-            return before;
+            return new GrantorSelection(before.version(), before.sinceNanos(), before.candidates(), daemons);
         }
-        return new GrantorSelection(before.version() + 1, now, ImmutableList.copyOf(candidates));
+        return new GrantorSelection(before.version() + 1, now, ImmutableList.copyOf(candidates), daemons);
     }
 
     private boolean isCounted(Known daemon, long now) {
--- a/anvilpick-core/src/main/java/io/anvilpick/allowances/GrantorSelection.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/allowances/GrantorSelection.java
@@ -8,9 +8,10 @@
  * The daemons among which the grantors of each tenant are selected. Immutable.
  *
  * @param version increases with each change of the candidates
- * @param sinceNanos time of the last change
+ * @param sinceNanos time of the last change of the candidates
+ * @param daemons number of daemons that may exist, including those that do not grant yet
  */
-record GrantorSelection(long version, long sinceNanos, ImmutableList<EntryMember> candidates) {
+record GrantorSelection(long version, long sinceNanos, ImmutableList<EntryMember> candidates, int daemons) {
     /** Maximum number of grantors of a tenant. The loss of one of five leaves 0.8 of an allowance. */
     static final int MAX_GRANTORS = 5;
 
--- a/anvilpick-core/src/main/java/io/anvilpick/allowances/TenantTokens.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/allowances/TenantTokens.java
@@ -217,7 +217,7 @@
         if (retryAfter.isPresent()) {
             return new TokenDecision.Refused(retryAfter.get());
         }
-        if (reserve.tryTake(allowance, selection.candidates().size(), random, now)) {
+        if (reserve.tryTake(allowance, selection.daemons(), random, now)) {
             return new TokenDecision.Granted(now);
         }
         return new TokenDecision.Unanswered(clamp(reserve.untilNext(now)));
--- a/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
+++ b/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
@@ -26,6 +26,7 @@
 import io.anvilpick.membership.Member;
 import io.anvilpick.membership.MemberDigest;
 import io.anvilpick.membership.MemberHeartbeat;
+import io.anvilpick.messages.AllowanceRequest;
 import io.anvilpick.messages.ClaimReleaseRequest;
 import io.anvilpick.messages.ClaimSettleRequest;
 import io.anvilpick.messages.ClaimVoteRequest;
@@ -65,6 +66,7 @@
             new ConfigPartsRequest(ImmutableSet.of("a", "b")),
             new CrashReportRequest(new CrashReport("print", "t:1", 5)),
             new CrashClearedRequest("print"),
+            new AllowanceRequest("tenant", 3),
             new StoreUpdateRequest(-1));
 
     private static final List<PeerReply> REPLIES = List.of(
@@ -88,6 +90,8 @@
             new PeerReply.StoreUpdate(new RelayedUpdate(
                     new FleetUpdate.Changes(ImmutableList.of(new StoredItem("a", 5, Optional.empty())), 6),
                     Duration.ZERO)),
+            new PeerReply.AllowanceGrant(2, Duration.ofMillis(150)),
+            new PeerReply.NotGrantor(Duration.ofSeconds(4)),
             new PeerReply.Rejected("reason"));
 
     @Test
