--- a/anvilpick-core/src/main/java/io/anvilpick/allowances/GrantorMembers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/allowances/GrantorMembers.java
@@ -36,10 +36,11 @@
     static final Duration SHORT_SETTLE_TIME = Duration.ofSeconds(3);
 
     /**
-     * The part of its rate that a daemon grants after a restart, until {@link #SETTLE_TIME} has passed. Its registration may be so
-     * recent that the others do not count it yet.
+     * The part of its rate that a daemon grants which did not wait for {@link #SETTLE_TIME}, until that has passed. After a restart
+     * its registration may be so recent that the others do not count it yet. A daemon that found no other may have read the store when
+     * the registrations of others had lapsed.
      */
-    private static final double RESTARTED_RATE_FACTOR = 0.5;
+    private static final double EARLY_RATE_FACTOR = 0.5;
 
     /** Time after the first read within which daemons register that found no other daemon. */
     private static final Duration FOUNDING_TIME = Duration.ofSeconds(5);
@@ -53,6 +54,12 @@
     /** Time without a read that shows its registration after which the others may have ceased to count a daemon. */
     private static final Duration MAX_UNPROVEN = Duration.ofSeconds(19);
 
+    /**
+     * Time until the report of a daemon that does not grant yet takes effect. Each change of the selection ranks all daemons for each
+     * active tenant, and in a fleet that grows many reports arrive at once.
+     */
+    private static final Duration REPORT_DELAY = Duration.ofMillis(50);
+
     /** Time for which the names of daemons that disappeared are remembered. */
     private static final Duration NAME_MEMORY = Duration.ofMinutes(10);
 
@@ -70,6 +77,7 @@
     private boolean selfInView;
     private boolean everRegistered;
     private boolean restarted;
+    private long settledNanos;
     private boolean registered;
     private long provenNanos;
     private long grantFromNanos;
@@ -182,8 +190,7 @@
         long now = time.nanos();
         lock.lock();
         try {
-            restarted = restarted && now - firstViewNanos < SETTLE_TIME.toNanos();
-            return restarted ? RESTARTED_RATE_FACTOR : 1;
+            return everRegistered && now - settledNanos < 0 ? EARLY_RATE_FACTOR : 1;
         } finally {
             lock.unlock();
         }
@@ -236,7 +243,9 @@
             }
             daemon.reportedUnsettled = true;
             daemon.reportedSettledNanos = now + bounded.toNanos();
-            select(now);
+            if (now + REPORT_DELAY.toNanos() - nextChangeNanos < 0) {
+                nextChangeNanos = now + REPORT_DELAY.toNanos();
+            }
         } finally {
             lock.unlock();
         }
@@ -266,6 +275,7 @@
         long proven = now - age.toNanos();
         if (!everRegistered) {
             everRegistered = true;
+            settledNanos = now + SETTLE_TIME.toNanos();
             grantFromNanos = now + firstSettleTime(now).toNanos();
         } else if (proven - provenNanos > MAX_UNPROVEN.toNanos()) {
             grantFromNanos = now + SETTLE_TIME.toNanos();
--- a/anvilpick-core/src/test/java/io/anvilpick/allowances/GrantorMembersTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/allowances/GrantorMembersTest.java
@@ -64,6 +64,9 @@
         assertFalse(members.mayGrant());
         advance(0.1);
         assertTrue(members.mayGrant());
+        assertEquals(0.5, members.rateFactor());
+        advance(17);
+        assertEquals(1, members.rateFactor());
     }
 
     /** Guards against daemons that start while the store returns from an outage, when the others have not registered again yet. */
@@ -144,6 +147,7 @@
     void daemonThatReportsThatItDoesNotGrantYetIsNotAsked() {
         observe("a", "self");
         members.reportUnsettled("a", Duration.ofSeconds(2));
+        advance(0.1);
         assertEquals(1, members.forHolder().candidates().size());
         assertEquals(2, members.forGrantor().candidates().size());
         advance(2);
