--- a/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
+++ b/anvilpick-peer/src/test/java/io/anvilpick/peer/PeerCodecTest.java
@@ -27,6 +27,7 @@
 import io.anvilpick.membership.Member;
 import io.anvilpick.membership.MemberDigest;
 import io.anvilpick.membership.MemberHeartbeat;
+import io.anvilpick.messages.AllowanceRequest;
 import io.anvilpick.messages.ClaimReleaseRequest;
 import io.anvilpick.messages.ClaimSettleRequest;
 import io.anvilpick.messages.ClaimVoteRequest;
@@ -66,6 +67,7 @@
             new ConfigPartsRequest(ImmutableSet.of("a", "b")),
             new CrashReportRequest(new CrashReport("print", "t:1", 5)),
             new CrashClearedRequest("print"),
+            new AllowanceRequest("tenant", 3),
             new StoreUpdateRequest(StoreRevision.NONE),
             new StoreUpdateRequest(new StoreRevision(2, 7)));
 
@@ -94,6 +96,8 @@
                             ImmutableList.of(new StoredItem("a", new StoreRevision(0, 5), Optional.empty())),
                             new StoreRevision(0, 6)),
                     Duration.ZERO)),
+            new PeerReply.AllowanceGrant(2, Duration.ofMillis(150)),
+            new PeerReply.NotGrantor(Duration.ofSeconds(4)),
             new PeerReply.Rejected("reason"));
 
     @Test
