Waiting calls: urgency first, drain rate, Retry-After by it, bounded probes

Cause: under overload the entry daemons sent 22 probes for each request, waited with late calls until their deadlines, and asked all refused callers to return after the same 0.3 s. The tenants' priority went behind fairness among tenants. Change: the queue moves from Dispatcher to WaitingCalls. Under EarliestAnswer the order is by urgency, and a tenant that starves is served out of turn. Refusal and Retry-After follow the measured drain rate. A call whose caller left is not sent or hedged again.

--- a/anvilpick-core/src/main/java/io/anvilpick/calls/AdmissionWaiters.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/calls/AdmissionWaiters.java
@@ -83,7 +83,9 @@
             try {
                 return wake.get(Math.clamp(remaining, 1, POLL_INTERVAL.toNanos()), TimeUnit.NANOSECONDS);
             } catch (TimeoutException e) {
-                prober.measure(dispatcher, call, Set.of());
+                if (dispatcher.tryBeginProbesOfWaiting()) {
+                    prober.measure(dispatcher, call, Set.of());
+                }
                 wake(dispatcher.dispatch());
             } catch (ExecutionException e) {
                 throw new IllegalStateException("the admission of a waiting call completed exceptionally", e);
--- a/anvilpick-core/src/main/java/io/anvilpick/calls/HedgedExchange.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/calls/HedgedExchange.java
@@ -162,6 +162,9 @@
         }
         Set<String> tried = Set.copyOf(running.targets());
         plan.prober().measure(running.dispatcher(), first.call(), tried);
+        if (Thread.interrupted()) {
+            throw new InterruptedException("the caller left before the call was hedged");
+        }
         Optional<Assignment> second = running.dispatcher().hedge(first, tried);
         if (second.isEmpty()) {
             return;
--- a/anvilpick-core/src/main/java/io/anvilpick/calls/Sender.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/calls/Sender.java
@@ -10,6 +10,7 @@
 import io.anvilpick.error.ErrorKind;
 import io.anvilpick.time.TimeSource;
 import io.anvilpick.time.Timer;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -80,6 +81,10 @@
             if (assignment.isEmpty()) {
                 return ending.answerOrThrow();
             }
+            if (Thread.interrupted()) {
+                waiters.wake(dispatcher.finish(assignment.get(), new CallResult.Cancelled()));
+                throw new InterruptedException("the caller left before the call was sent");
+            }
             Optional<ErrorKind> forbidden = plan.permission().refusal();
             if (forbidden.isPresent()) {
                 waiters.wake(dispatcher.finish(assignment.get(), new CallResult.Cancelled()));
@@ -152,13 +157,26 @@
                     yield Optional.empty();
                 }
                 throw new CallException(
-                        refused.kind(), "the call was not sent: " + refused.kind(), refused.retryAfter());
+                        refused.kind(),
+                        "the call was not sent: " + refused.kind(),
+                        retryAfter(dispatcher, call, refused));
             }
             case Admission.Waiting ignored ->
                 throw new IllegalStateException("a waiting call returned without a decision");
         };
     }
 
+    /** Returns when a refused caller should return; empty if the usual time applies. */
+    private static Optional<Duration> retryAfter(Dispatcher dispatcher, Call call, Admission.Refused refused) {
+        if (refused.retryAfter().isPresent()) {
+            return refused.retryAfter();
+        }
+        return switch (refused.kind()) {
+            case OVERLOADED, DEADLINE_BEFORE_SEND -> dispatcher.retryAfter(call);
+            default -> Optional.empty();
+        };
+    }
+
     /**
      * Returns whether the call may be sent again after {@code reply}. Only calls that did not run or that are
      * idempotent are sent again. After a rejection, a lost connection or a cut answer, a call is sent again only if no
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/AdmissionLimits.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/AdmissionLimits.java
@@ -50,7 +50,11 @@
 
     /** Returns why {@code call} is not to wait behind {@code ahead} other calls; empty if it may wait. */
     Optional<ErrorKind> refusalToWait(Call call, double ahead, Room room, long now) {
-        double waitNanos = expectedWaitNanos(call, ahead, room);
+        return refusalAfter(call, expectedWaitNanos(call, ahead, room), now);
+    }
+
+    /** Returns why {@code call}, whose answer is expected after {@code waitNanos}, is not to wait; empty if it may wait. */
+    Optional<ErrorKind> refusalAfter(Call call, double waitNanos, long now) {
         if (waitNanos > call.deadline().remainingNanos(now)) {
             return Optional.of(ErrorKind.OVERLOADED);
         }
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/CallQueue.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/CallQueue.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,8 +18,8 @@
  * make further calls late.
  */
 final class CallQueue {
-    private final FairCallQueue inTime = new FairCallQueue();
-    private final FairCallQueue late = new FairCallQueue();
+    private final UrgencyQueue inTime;
+    private final UrgencyQueue late;
 
     /** The ids of the targets that have failed a queued call, by its id. Absent for a call that none has failed. */
     private final Map<Long, Set<String>> failedTargets = new HashMap<>();
@@ -31,6 +32,9 @@
         /** Returns whether the call will miss its goal. */
         boolean willMissGoal(Call call);
 
+        /** Returns the tenant, of those {@code waiting}, whose call goes next out of turn; empty if none does. */
+        Optional<String> tenantOutOfTurn(Supplier<Set<String>> waiting);
+
         /** Returns the weight of the call's tenant. */
         int weightOf(Call call);
 
@@ -42,13 +46,30 @@
         Assignment tryAssign(Call call, int queued, Set<String> failed);
     }
 
+    CallQueue(CallOrder order) {
+        this.inTime = new UrgencyQueue(order);
+        this.late = new UrgencyQueue(order);
+    }
+
     int size() {
         return inTime.size() + late.size();
     }
 
-    /** Returns the estimated number of calls that would precede another call of {@code tenant}. */
-    double callsAhead(String tenant, int weight) {
-        return inTime.callsAhead(tenant, weight);
+    /** Returns the estimated number of calls that would precede {@code call} while it can meet its goal. */
+    double callsAhead(Call call, int weight) {
+        return inTime.callsAhead(call, weight);
+    }
+
+    /** Returns the estimated number of calls that would precede {@code call} if it missed its goal. */
+    double callsAheadOfLate(Call call, int weight) {
+        return inTime.size() + late.callsAhead(call, weight);
+    }
+
+    /** Returns the tenants whose calls wait. */
+    Set<String> tenants() {
+        Set<String> tenants = inTime.tenants();
+        tenants.addAll(late.tenants());
+        return tenants;
     }
 
     /**
@@ -102,6 +123,7 @@
     DispatchResult drain(DrainPolicy policy) {
         ImmutableList.Builder<Assignment> assigned = ImmutableList.builder();
         ImmutableList.Builder<DispatchResult.Refusal> refused = ImmutableList.builder();
+        drainOutOfTurn(policy, assigned);
         drain(inTime, policy, assigned, refused);
         if (inTime.size() == 0) {
             drain(late, policy, assigned, refused);
@@ -109,8 +131,30 @@
         return new DispatchResult(assigned.build(), refused.build());
     }
 
+    /** Assigns the call of a tenant that goes next out of turn. If it can't be assigned, the turn is kept for the next pass. */
+    private void drainOutOfTurn(DrainPolicy policy, ImmutableList.Builder<Assignment> assigned) {
+        Optional<String> tenant = policy.tenantOutOfTurn(this::tenants);
+        if (tenant.isEmpty()) {
+            return;
+        }
+        Optional<Call> first = inTime.peek(tenant.get());
+        UrgencyQueue queue = first.isPresent() ? inTime : late;
+        Optional<Call> next = first.isPresent() ? first : late.peek(tenant.get());
+        if (next.isEmpty() || policy.refusalOf(next.get()).isPresent()) {
+            return;
+        }
+        Call call = next.get();
+        Assignment assignment = policy.tryAssign(call, queue.size(), failedTargets.getOrDefault(call.id(), Set.of()));
+        if (assignment == null) {
+            return;
+        }
+        queue.dequeue(call);
+        failedTargets.remove(call.id());
+        assigned.add(assignment);
+    }
+
     private void drain(
-            FairCallQueue queue,
+            UrgencyQueue queue,
             DrainPolicy policy,
             ImmutableList.Builder<Assignment> assigned,
             ImmutableList.Builder<DispatchResult.Refusal> refused) {
@@ -140,6 +184,7 @@
             queue.dequeue(call);
             failedTargets.remove(call.id());
             assigned.add(assignment);
+            drainOutOfTurn(policy, assigned);
         }
     }
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
@@ -13,6 +13,7 @@
 import io.anvilpick.limits.ShareBudget;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -39,13 +40,13 @@
     private final TargetPolicy policy;
     private final ExtraCallBudget retries;
     private final ExtraCallBudget hedges;
-    private final CallQueue queue = new CallQueue();
-
     private final LatencyBaselines baselines = new LatencyBaselines();
     private final TargetSet targets;
     private final OutcomeRecorder outcomes;
-    private final AdmissionLimits limits = new AdmissionLimits(baselines);
+    private final WaitingCalls waiting;
+    private final ProbeAllowance probes = new ProbeAllowance();
     private @Nullable Configuration configuration;
+    private int daemons = 1;
     private long nextAssignmentId;
 
     private Dispatcher(Builder builder) {
@@ -53,7 +54,9 @@
         this.policy = builder.policy;
         this.retries = builder.retries;
         this.hedges = builder.hedges;
-        this.targets = new TargetSet(new TargetPicker(policy, checkNotNull(builder.random, "random")), policy, time);
+        RandomGenerator random = checkNotNull(builder.random, "random");
+        this.targets = new TargetSet(new TargetPicker(policy, random), policy, time);
+        this.waiting = new WaitingCalls(CallOrder.of(policy), baselines, random);
         this.outcomes = new OutcomeRecorder(targets, baselines);
     }
 
@@ -70,6 +73,7 @@
         try {
             configuration = newConfiguration;
             targets.configure(service, time.nanos());
+            probes.setTargets(service.targets().size());
         } finally {
             lock.unlock();
         }
@@ -80,6 +84,7 @@
         lock.lock();
         try {
             targets.configure(service, traits, time.nanos());
+            probes.setTargets(service.targets().size());
         } finally {
             lock.unlock();
         }
@@ -97,7 +102,7 @@
 
     /**
      * Sets the number of daemons, including this one, that may connect to the same targets. Each daemon keeps to its
-     * share of the connections.
+     * share of the connections and of the probes.
      *
      * @throws IllegalArgumentException if {@code count} is not positive
      */
@@ -105,12 +110,43 @@
         checkArgument(count > 0, "count must be positive: %s", count);
         lock.lock();
         try {
+            daemons = count;
+            probes.setDaemons(count);
             targets.setDaemonCount(count, time.nanos());
         } finally {
             lock.unlock();
         }
     }
 
+    /**
+     * Limits the load probes that all daemons together send to a target on average. By default there is no limit.
+     *
+     * @param perTargetAndSecond probes a second; infinite for no limit
+     * @throws IllegalArgumentException if {@code perTargetAndSecond} is not positive
+     */
+    public void setProbeLimit(double perTargetAndSecond) {
+        checkArgument(perTargetAndSecond > 0, "perTargetAndSecond must be positive: %s", perTargetAndSecond);
+        lock.lock();
+        try {
+            probes.setLimit(perTargetAndSecond);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Returns whether a waiting call is to have targets probed now. Where probes are limited, one round serves all waiting calls, and
+     * this returns true once for each round.
+     */
+    public boolean tryBeginProbesOfWaiting() {
+        lock.lock();
+        try {
+            return probes.tryBeginSharedRound(time.nanos());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Records the load that a target reported in reply to a probe. */
     public void recordLoadReport(String targetId, LoadReport report) {
         update(targetId, (state, now) -> state.onProbe(now, report));
@@ -150,14 +186,25 @@
 
     /**
      * Returns up to {@code maxTargets} targets to probe for their load before {@code call} is sent. Returns none if the
-     * load of a good target is known already, or if the policy is not {@link TargetPolicy.EarliestAnswer}.
+     * load of a good target is known already, if the probes are used up, or if the policy is not
+     * {@link TargetPolicy.EarliestAnswer}.
      *
      * <p>Under that policy, an ejected target whose recovery is due for a test is returned in addition.
      */
     public ImmutableList<TargetConfig> targetsToProbe(Call call, Set<String> excluded, int maxTargets) {
         lock.lock();
         try {
-            return targets.targetsToProbe(pickRequest(call, time.nanos(), 0), excluded, maxTargets);
+            long now = time.nanos();
+            // One more than wanted, for an ejected target whose recovery is due for a test.
+            int available = probes.available(maxTargets + 1, now);
+            if (available == 0) {
+                return ImmutableList.of();
+            }
+            ImmutableList<TargetConfig> promising =
+                    targets.targetsToProbe(pickRequest(call, now, 0), excluded, maxTargets);
+            ImmutableList<TargetConfig> allowed = promising.subList(0, Math.min(promising.size(), available));
+            probes.spend(allowed.size());
+            return allowed;
         } finally {
             lock.unlock();
         }
@@ -168,7 +215,7 @@
         lock.lock();
         try {
             long now = time.nanos();
-            Optional<ErrorKind> refusal = limits.refusalToSend(call, now);
+            Optional<ErrorKind> refusal = waiting.refusalToSend(call, now);
             if (refusal.isPresent()) {
                 return new Admission.Refused(refusal.get());
             }
@@ -179,9 +226,11 @@
             if (hedges != retries) {
                 hedges.deposit();
             }
-            if (queue.size() == 0) {
+            waiting.onAsked(call, now);
+            if (waiting.size() == 0) {
                 TargetState target = targets.pick(pickRequest(call, now, 0), Set.of());
                 if (target != null) {
+                    waiting.onSent(call, now);
                     return new Admission.Assigned(assign(call, target, now));
                 }
             }
@@ -201,7 +250,7 @@
         lock.lock();
         try {
             long now = time.nanos();
-            if (limits.refusalToSend(call, now).isEmpty() && !retries.tryWithdraw()) {
+            if (waiting.refusalToSend(call, now).isEmpty() && !retries.tryWithdraw()) {
                 return new Admission.Refused(ErrorKind.OVERLOADED);
             }
             return readmit(call, failed, now);
@@ -259,10 +308,7 @@
         lock.lock();
         try {
             long now = time.nanos();
-            Room room = targets.room(now);
-            limits.stopBy(end);
-            return new DispatchResult(
-                    ImmutableList.of(), queue.refuse((call, ahead) -> limits.refusalToWait(call, ahead, room, now)));
+            return waiting.stopBy(end, targets.room(now), now);
         } finally {
             lock.unlock();
         }
@@ -273,7 +319,20 @@
         lock.lock();
         try {
             long now = time.nanos();
-            return limits.refusalOfWaiting(call, targets.restNanos(now), now).filter(kind -> queue.remove(call));
+            return waiting.withdrawIfLate(call, targets.restNanos(now), now);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Returns when the caller of {@code call}, which was refused, should return, so that the queue has drained by then; empty if it
+     * is not known how fast it drains.
+     */
+    public Optional<Duration> retryAfter(Call call) {
+        lock.lock();
+        try {
+            return waiting.retryAfter(call, weightOf(call), time.nanos());
         } finally {
             lock.unlock();
         }
@@ -283,7 +342,7 @@
     public boolean cancel(Call call) {
         lock.lock();
         try {
-            return queue.remove(call);
+            return waiting.remove(call, time.nanos());
         } finally {
             lock.unlock();
         }
@@ -325,8 +384,8 @@
             Call call = first.call();
             boolean allowed = call.request().idempotent()
                     && policy.queuesCalls()
-                    && queue.size() == 0
-                    && limits.refusalToSend(call, now).isEmpty();
+                    && waiting.size() == 0
+                    && waiting.refusalToSend(call, now).isEmpty();
             if (!allowed) {
                 return Optional.empty();
             }
@@ -344,7 +403,7 @@
     public int waitingCalls() {
         lock.lock();
         try {
-            return queue.size();
+            return waiting.size();
         } finally {
             lock.unlock();
         }
@@ -361,42 +420,37 @@
     }
 
     private Admission readmit(Call call, Set<String> failed, long now) {
-        Optional<ErrorKind> refusal = limits.refusalToSend(call, now);
+        Optional<ErrorKind> refusal = waiting.refusalToSend(call, now);
         if (refusal.isPresent()) {
             return new Admission.Refused(refusal.get());
         }
+        waiting.onAsked(call, now);
         TargetState target = targets.pick(pickRequest(call, now, 0), failed);
-        return target != null ? new Admission.Assigned(assign(call, target, now)) : enqueue(call, failed, now);
+        if (target == null) {
+            return enqueue(call, failed, now);
+        }
+        waiting.onSent(call, now);
+        return new Admission.Assigned(assign(call, target, now));
     }
 
     private Admission enqueue(Call call, Set<String> failed, long now) {
-        int weight = weightOf(call);
-        double ahead = queue.callsAhead(call.tenant(), weight);
-        Optional<ErrorKind> refusal = limits.refusalToWait(call, ahead, targets.room(now), now);
-        if (refusal.isPresent()) {
-            return new Admission.Refused(refusal.get(), limits.retryAfter(call, targets.room(now), now));
-        }
-        queue.add(call, weight, failed);
-        return new Admission.Waiting();
+        return waiting.add(call, failed, placement(now), targets.room(now), daemons > 1, now);
     }
 
     private DispatchResult drain(long now) {
-        long restNanos = targets.restNanos(now);
-        return queue.drain(new CallQueue.DrainPolicy() {
-            @Override
-            public Optional<ErrorKind> refusalOf(Call call) {
-                return limits.refusalOfWaiting(call, restNanos, now);
-            }
+        return waiting.drain(placement(now), targets.restNanos(now), now);
+    }
 
+    private WaitingCalls.Placement placement(long now) {
+        return new WaitingCalls.Placement() {
             @Override
-            public boolean willMissGoal(Call call) {
-                return !call.goal().equals(call.deadline())
-                        && call.goal().remainingNanos(now) < baselineNanos(call.request());
+            public int weightOf(Call call) {
+                return Dispatcher.this.weightOf(call);
             }
 
             @Override
-            public int weightOf(Call call) {
-                return Dispatcher.this.weightOf(call);
+            public boolean hasRoomFor(Call call, Set<String> failed) {
+                return targets.pickAgain(pickRequest(call, now, waiting.size() + 1), failed) != null;
             }
 
             @Override
@@ -404,7 +458,7 @@
                 TargetState target = targets.pickAgain(pickRequest(call, now, queued), failed);
                 return target == null ? null : assign(call, target, now);
             }
-        });
+        };
     }
 
     private int weightOf(Call call) {
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/FairCallQueue.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/FairCallQueue.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 
@@ -17,6 +19,9 @@
  * <p>Implements start-time fair queueing: each call dequeued advances its tenant's start tag by {@code 1 / weight}, and
  * the tenant with the smallest start tag comes next. Within a tenant, the more urgent request class comes first, then
  * the earlier deadline. Adding and removing take O(tenants + log calls) time.
+ *
+ * <p>A tenant without calls is kept only while its start tag is ahead of the virtual time, and at most {@value #MAX_IDLE_TENANTS}
+ * of these are kept.
  */
 final class FairCallQueue {
     private static final Comparator<Call> ORDER = Comparator.<Call>comparingInt(
@@ -24,7 +29,15 @@
             .thenComparing(call -> call.deadline().atNanos(), FairCallQueue::compareNanos)
             .thenComparingLong(Call::id);
 
+    /** Bounds the memory of a queue whose virtual time stands still because each of its calls is of a new tenant. */
+    private static final int MAX_IDLE_TENANTS = 1_024;
+
     private final Map<String, TenantQueue> queues = new HashMap<>();
+
+    /** The tenants that became idle, by the start tag that they had then. Some of them may have calls again. */
+    private final PriorityQueue<IdleTenant> idle =
+            new PriorityQueue<>(Comparator.comparingDouble(IdleTenant::startTag));
+
     private double virtualTime;
     private int size;
 
@@ -40,24 +53,53 @@
         }
     }
 
+    private record IdleTenant(String tenant, double startTag) {}
+
     int size() {
         return size;
     }
 
+    /** Returns whether the queue has no calls and no tenant has used more than its share. */
+    boolean isUnused() {
+        return queues.isEmpty();
+    }
+
+    /** Adds the tenants whose calls wait to {@code tenants}. */
+    void addWaitingTenants(Set<String> tenants) {
+        for (Map.Entry<String, TenantQueue> entry : queues.entrySet()) {
+            if (!entry.getValue().calls.isEmpty()) {
+                tenants.add(entry.getKey());
+            }
+        }
+    }
+
     /**
      * Returns the estimated number of calls that would precede another call of {@code tenant}, assuming that the other
      * tenants use their shares.
      */
     double callsAhead(String tenant, int weight) {
         TenantQueue own = queues.get(tenant);
-        int ownWaiting = own == null ? 0 : own.calls.size();
-        double ahead = ownWaiting;
+        return callsAhead(tenant, own == null ? 0 : own.calls.size(), weight);
+    }
+
+    /**
+     * Returns the estimated number of calls that would precede {@code call}, assuming that the other tenants use their shares. Of
+     * its own tenant, only the calls that come before it count.
+     */
+    double callsAhead(Call call, int weight) {
+        TenantQueue own = queues.get(call.tenant());
+        return callsAhead(
+                call.tenant(), own == null ? 0 : own.calls.headSet(call).size(), weight);
+    }
+
+    private double callsAhead(String tenant, int ownAhead, int weight) {
+        double ahead = ownAhead;
         for (Map.Entry<String, TenantQueue> entry : queues.entrySet()) {
             if (entry.getKey().equals(tenant)) {
                 continue;
             }
             TenantQueue other = entry.getValue();
-            double share = (double) (ownWaiting + 1) * other.weight / weight;
+            double share = (double) (ownAhead + 1) * other.weight / weight;
             ahead += Math.min(other.calls.size(), share);
         }
         return ahead;
@@ -90,6 +132,12 @@
         return queue == null ? Optional.empty() : Optional.of(queue.calls.first());
     }
 
+    /** Returns the next call of {@code tenant} without removing it; empty if none waits. */
+    Optional<Call> peek(String tenant) {
+        TenantQueue queue = queues.get(tenant);
+        return queue == null || queue.calls.isEmpty() ? Optional.empty() : Optional.of(queue.calls.first());
+    }
+
     /** Returns all calls: one of each tenant in turn, and those of a tenant in their order. */
     ImmutableList<Call> inOrder() {
         List<Iterator<Call>> tenants = new ArrayList<>();
@@ -111,6 +159,7 @@
         virtualTime = Math.max(virtualTime, queue.startTag);
         queue.startTag += 1.0 / queue.weight;
         boolean ignored = remove(call);
+        removeIdle();
     }
 
     private @Nullable TenantQueue earliestQueue() {
@@ -131,8 +180,28 @@
      * a tenant gains nothing by running empty and queueing calls again.
      */
     private void removeIfEmpty(String tenant, TenantQueue queue) {
-        if (queue.calls.isEmpty() && queue.startTag <= virtualTime) {
+        if (!queue.calls.isEmpty()) {
+            return;
+        }
+        if (queue.startTag <= virtualTime) {
             queues.remove(tenant);
+            return;
+        }
+        idle.add(new IdleTenant(tenant, queue.startTag));
+    }
+
+    /** Removes the tenants without calls that the virtual time has caught up with, and the earliest of too many. */
+    private void removeIdle() {
+        while (!idle.isEmpty()) {
+            IdleTenant first = idle.element();
+            if (first.startTag() > virtualTime && idle.size() <= MAX_IDLE_TENANTS) {
+                return;
+            }
+            idle.remove();
+            TenantQueue queue = queues.get(first.tenant());
+            if (queue != null && queue.calls.isEmpty() && queue.startTag <= first.startTag()) {
+                queues.remove(first.tenant());
+            }
         }
     }
 
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
@@ -47,6 +47,7 @@
     private final Supplier<RandomGenerator> random;
     private final String zone;
     private volatile SharedBudget budget;
+    private volatile double probeLimit = Double.POSITIVE_INFINITY;
     private volatile int daemons = 1;
     private volatile @Nullable Deadline end;
 
@@ -134,6 +135,12 @@
         rows.forEach(shard -> shard.values().forEach(row -> applyBudget(row.budget())));
     }
 
+    /** Limits the probes that a target receives a second, as {@link Dispatcher#setProbeLimit} does, from now on. */
+    public void setProbeLimit(double perTargetAndSecond) {
+        probeLimit = perTargetAndSecond;
+        all().values().forEach(dispatcher -> dispatcher.setProbeLimit(perTargetAndSecond));
+    }
+
     /** Calls {@link Dispatcher#stopBy} for each dispatcher, and for those created later, and returns what left their queues. */
     public ImmutableList<DispatchResult> stopBy(Deadline value) {
         end = value;
@@ -168,6 +175,7 @@
                 .policy(new TargetPolicy.EarliestAnswer(zone))
                 .extraCalls(own)
                 .build();
+        dispatcher.setProbeLimit(probeLimit);
         Deadline stop = end;
         if (stop != null) {
             dispatcher.stopBy(stop);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -102,6 +102,7 @@
                 SplittableRandom::new,
                 initial.extraCalls(),
                 initial.self().zone());
+        dispatchers.setProbeLimit(initial.probesPerSecond());
         this.state = new FleetState(time, dispatchers::update);
         this.freshness = new ViewFreshness(time, initial.watchTimes().bound());
         RelayLog relayLog = new RelayLog(time);
@@ -231,7 +232,9 @@
 
     /** Adopts those values of {@code next} that need no restart. Calls in flight are not affected. */
     public void reload(EntrySettings next) {
-        dispatchers.updateBudget(settings.apply(next).extraCalls());
+        EntrySettings applied = settings.apply(next);
+        dispatchers.updateBudget(applied.extraCalls());
+        dispatchers.setProbeLimit(applied.probesPerSecond());
     }
 
     /** Returns the active settings. */
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
@@ -23,6 +23,8 @@
  * @param grace time from the stop signal until the process is killed
  * @param addressesGoodFor time for which callers may cache an answer of the directory
  * @param watchTimes how long the daemon waits for changes of the store; a change needs a restart
+ * @param probesPerSecond maximum number of load probes that a target receives a second from all daemons together; infinite if there is
+ *     no limit
  */
 public record EntrySettings(
         EntryMember self,
@@ -31,10 +33,12 @@
         SharedBudget extraCalls,
         Duration grace,
         Duration addressesGoodFor,
-        WatchTimes watchTimes) {
+        WatchTimes watchTimes,
+        double probesPerSecond) {
     public EntrySettings {
         checkArgument(grace.isPositive(), "grace must be positive: %s", grace);
         checkArgument(addressesGoodFor.isPositive(), "addressesGoodFor must be positive: %s", addressesGoodFor);
+        checkArgument(probesPerSecond > 0, "probesPerSecond must be positive: %s", probesPerSecond);
     }
 
     /** Returns a builder of the settings of the daemon that registers as {@code self}. */
@@ -47,7 +51,14 @@
         SharedBudget budget =
                 new SharedBudget(next.extraCalls.ratio(), next.extraCalls.allowance(), extraCalls.window());
         return new EntrySettings(
-                self, callAddress, metricsAddress, budget, next.grace, next.addressesGoodFor, watchTimes);
+                self,
+                callAddress,
+                metricsAddress,
+                budget,
+                next.grace,
+                next.addressesGoodFor,
+                watchTimes,
+                next.probesPerSecond);
     }
 
     /** Returns the names of the settings that differ in {@code other}. */
@@ -60,6 +71,7 @@
         addIfDifferent(names, "grace", grace, other.grace);
         addIfDifferent(names, "addressesGoodFor", addressesGoodFor, other.addressesGoodFor);
         addIfDifferent(names, "watchTimes", watchTimes, other.watchTimes);
+        addIfDifferent(names, "probesPerSecond", probesPerSecond, other.probesPerSecond);
         return names.build();
     }
 
@@ -78,6 +90,7 @@
         private @Nullable Duration grace;
         private @Nullable Duration addressesGoodFor;
         private WatchTimes watchTimes = WatchTimes.within(Optional.empty(), Optional.empty());
+        private double probesPerSecond = Double.POSITIVE_INFINITY;
 
         private Builder(EntryMember self) {
             this.self = self;
@@ -119,11 +132,17 @@
             return this;
         }
 
+        /** Sets the maximum number of load probes that a target receives a second from all daemons together. The default is no limit. */
+        public Builder probesPerSecond(double value) {
+            probesPerSecond = value;
+            return this;
+        }
+
         /**
          * Returns the settings.
          *
          * @throws NullPointerException if a setting was not set
-         * @throws IllegalArgumentException if a duration is not positive
+         * @throws IllegalArgumentException if a duration or a limit is not positive
          */
         public EntrySettings build() {
             return new EntrySettings(
@@ -133,7 +152,8 @@
                     checkNotNull(extraCalls, "extraCalls"),
                     checkNotNull(grace, "grace"),
                     checkNotNull(addressesGoodFor, "addressesGoodFor"),
-                    watchTimes);
+                    watchTimes,
+                    probesPerSecond);
         }
     }
 }
