--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
@@ -18,6 +18,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongConsumer;
+import java.util.function.LongFunction;
 import java.util.function.ObjLongConsumer;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -69,35 +71,26 @@
      * Applies {@code service} of {@code newConfiguration}. Calls in flight and the state of unchanged targets are kept.
      */
     public void configure(ServiceConfig service, Configuration newConfiguration) {
-        lock.lock();
-        try {
+        runLocked(now -> {
             configuration = newConfiguration;
-            targets.configure(service, time.nanos());
+            targets.configure(service, now);
             probes.setTargets(service.targets().size());
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /** Applies {@code service} with the traits of its targets by id. The state of unchanged targets is kept. */
     public void configure(ServiceConfig service, Map<String, TargetTraits> traits) {
-        lock.lock();
-        try {
-            targets.configure(service, traits, time.nanos());
+        runLocked(now -> {
+            targets.configure(service, traits, now);
             probes.setTargets(service.targets().size());
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /** Sets the hosts or addresses that the platform lists as leaving; targets there receive no new calls. */
     public void setLeavingAddresses(Set<String> addresses) {
-        lock.lock();
-        try {
+        runLocked(now -> {
             targets.setLeavingAddresses(addresses);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
@@ -108,14 +101,11 @@
      */
     public void setDaemonCount(int count) {
         checkArgument(count > 0, "count must be positive: %s", count);
-        lock.lock();
-        try {
+        runLocked(now -> {
             daemons = count;
             probes.setDaemons(count);
-            targets.setDaemonCount(count, time.nanos());
-        } finally {
-            lock.unlock();
-        }
+            targets.setDaemonCount(count, now);
+        });
     }
 
     /**
@@ -126,12 +116,9 @@
      */
     public void setProbeLimit(double perTargetAndSecond) {
         checkArgument(perTargetAndSecond > 0, "perTargetAndSecond must be positive: %s", perTargetAndSecond);
-        lock.lock();
-        try {
+        runLocked(now -> {
             probes.setLimit(perTargetAndSecond);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
@@ -139,12 +126,7 @@
      * this returns true once for each round.
      */
     public boolean tryBeginProbesOfWaiting() {
-        lock.lock();
-        try {
-            return probes.tryBeginSharedRound(time.nanos());
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> probes.tryBeginSharedRound(now));
     }
 
     /** Records the load that a target reported in reply to a probe. */
@@ -173,15 +155,12 @@
     }
 
     private void update(String targetId, ObjLongConsumer<TargetState> change) {
-        lock.lock();
-        try {
+        runLocked(now -> {
             TargetState target = targets.find(targetId);
             if (target != null) {
-                change.accept(target, time.nanos());
+                change.accept(target, now);
             }
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
@@ -192,9 +171,7 @@
      * <p>Under that policy, an ejected target whose recovery is due for a test is returned in addition.
      */
     public ImmutableList<TargetConfig> targetsToProbe(Call call, Set<String> excluded, int maxTargets) {
-        lock.lock();
-        try {
-            long now = time.nanos();
+        return locked(now -> {
             // One more than wanted, for an ejected target whose recovery is due for a test.
             int available = probes.available(maxTargets + 1, now);
             if (available == 0) {
@@ -205,16 +182,12 @@
             ImmutableList<TargetConfig> allowed = promising.subList(0, Math.min(promising.size(), available));
             probes.spend(allowed.size());
             return allowed;
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /** Submits a new call. */
     public Admission submit(Call call) {
-        lock.lock();
-        try {
-            long now = time.nanos();
+        return locked(now -> {
             Optional<ErrorKind> refusal = waiting.refusalToSend(call, now);
             if (refusal.isPresent()) {
                 return new Admission.Refused(refusal.get());
@@ -235,9 +208,7 @@
                 }
             }
             return enqueue(call, Set.of(), now);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
@@ -247,16 +218,12 @@
      * @param failed the ids of the targets that the call has been sent to
      */
     public Admission retry(Call call, Set<String> failed) {
-        lock.lock();
-        try {
-            long now = time.nanos();
+        return locked(now -> {
             if (waiting.refusalToSend(call, now).isEmpty() && !retries.tryWithdraw()) {
                 return new Admission.Refused(ErrorKind.OVERLOADED);
             }
             return readmit(call, failed, now);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
@@ -265,39 +232,25 @@
      * @param failed the ids of the targets that the call has been assigned to
      */
     public Admission resubmit(Call call, Set<String> failed) {
-        lock.lock();
-        try {
-            return readmit(call, failed, time.nanos());
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> readmit(call, failed, now));
     }
 
     /** Records the outcome of {@code assignment} and drains the queue as {@link #dispatch} does. */
     public DispatchResult finish(Assignment assignment, CallResult result) {
-        lock.lock();
-        try {
-            long now = time.nanos();
+        return locked(now -> {
             TargetState target = targets.find(assignment.target().id());
             if (target != null && target.finish(assignment)) {
                 outcomes.recordOutcome(target, assignment, result, now);
             }
             return drain(now);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
      * Drains the queue: returns the calls that can be assigned now and those that can no longer be answered in time.
      */
     public DispatchResult dispatch() {
-        lock.lock();
-        try {
-            return drain(time.nanos());
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> drain(now));
     }
 
     /**
@@ -305,24 +258,12 @@
      * answered by then. From now on, calls that cannot are refused.
      */
     public DispatchResult stopBy(Deadline end) {
-        lock.lock();
-        try {
-            long now = time.nanos();
-            return waiting.stopBy(end, targets.room(now), now);
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> waiting.stopBy(end, targets.room(now), now));
     }
 
     /** Removes {@code call} from the queue and returns the reason if it can no longer be answered in time. */
     public Optional<ErrorKind> withdrawIfLate(Call call) {
-        lock.lock();
-        try {
-            long now = time.nanos();
-            return waiting.withdrawIfLate(call, targets.restNanos(now), now);
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> waiting.withdrawIfLate(call, targets.restNanos(now), now));
     }
 
     /**
@@ -330,22 +271,12 @@
      * is not known how fast it drains.
      */
     public Optional<Duration> retryAfter(Call call) {
-        lock.lock();
-        try {
-            return waiting.retryAfter(call, weightOf(call), time.nanos());
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> waiting.retryAfter(call, weightOf(call), now));
     }
 
     /** Removes {@code call} from the queue; returns false if it is not queued. */
     public boolean cancel(Call call) {
-        lock.lock();
-        try {
-            return waiting.remove(call, time.nanos());
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> waiting.remove(call, now));
     }
 
     /**
@@ -353,14 +284,11 @@
      * class without a server error.
      */
     public long hedgeDelayNanos(Call call) {
-        lock.lock();
-        try {
+        return locked(now -> {
             LatencyBaseline baseline = baselines.of(call.request());
-            long goalNanos = call.goal().remainingNanos(time.nanos());
+            long goalNanos = call.goal().remainingNanos(now);
             return policy.hedgeDelayNanos(baseline.medianNanos(), baseline.hedgeDelayNanos(), goalNanos);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
@@ -378,9 +306,7 @@
      * @param tried the ids of the targets that the call has been sent to
      */
     public Optional<Assignment> hedge(Assignment first, Set<String> tried) {
-        lock.lock();
-        try {
-            long now = time.nanos();
+        return locked(now -> {
             Call call = first.call();
             boolean allowed = call.request().idempotent()
                     && policy.queuesCalls()
@@ -394,26 +320,32 @@
                 return Optional.empty();
             }
             return Optional.of(assign(call, target, now));
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /** Returns the number of queued calls. */
     public int waitingCalls() {
+        return locked(now -> waiting.size());
+    }
+
+    /** Returns the present state of each target. */
+    public ImmutableList<TargetView> targets() {
+        return locked(now -> targets.views(now));
+    }
+
+    private <T> T locked(LongFunction<T> decision) {
         lock.lock();
         try {
-            return waiting.size();
+            return decision.apply(time.nanos());
         } finally {
             lock.unlock();
         }
     }
 
-    /** Returns the present state of each target. */
-    public ImmutableList<TargetView> targets() {
+    private void runLocked(LongConsumer change) {
         lock.lock();
         try {
-            return targets.views(time.nanos());
+            change.accept(time.nanos());
         } finally {
             lock.unlock();
         }
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/FairCallQueue.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/FairCallQueue.java
@@ -64,6 +64,11 @@
         return queues.isEmpty();
     }
 
+    /** Returns the number of tenants that have calls or are kept because of what they have had. */
+    int knownTenants() {
+        return queues.size();
+    }
+
     /** Adds the tenants whose calls wait to {@code tenants}. */
     void addWaitingTenants(Set<String> tenants) {
         for (Map.Entry<String, TenantQueue> entry : queues.entrySet()) {
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/ProbeAllowance.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/ProbeAllowance.java
@@ -28,7 +28,10 @@
     private double perTargetAndSecond = Double.POSITIVE_INFINITY;
     private int targets;
     private int daemons = 1;
-    private double tokens = MIN_CAPACITY;
+
+    /** The probes that may be sent at once. More than the capacity at first, so that the first limit begins with it. */
+    private double tokens = Double.POSITIVE_INFINITY;
+
     private long filledNanos;
     private long sharedRoundNanos = Long.MIN_VALUE;
 
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/TenantShares.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/TenantShares.java
@@ -19,11 +19,14 @@
     /** Time over which counts decay to 1/e. It is the length of a burst. */
     private static final double DECAY_NANOS = Duration.ofSeconds(5).toNanos();
 
-    /** Time without any dispatch after which a tenant may starve. */
+    /** Time without any dispatch after which a tenant with few calls may starve. */
     private static final long MIN_UNSERVED_NANOS = Duration.ofMillis(250).toNanos();
 
-    /** Starving means being served less than a quarter as often as all tenants. Help begins at a third. */
-    private static final double STARVING_RATIO = 1.0 / 3;
+    /** Number of calls from which the part of them that was served is meaningful. */
+    private static final double MANY_CALLS = 8;
+
+    /** Starving means being served less than a quarter as often as all tenants. Help begins earlier, as calls sent may be answered late. */
+    private static final double STARVING_RATIO = 0.4;
 
     /** One of this many dispatches goes to a tenant that starves. */
     static final int DISPATCHES_PER_TURN = 8;
@@ -109,7 +112,7 @@
 
     private boolean isStarving(@Nullable Share share, long now) {
         return share != null
-                && now - share.servedNanos >= MIN_UNSERVED_NANOS
+                && (share.asked >= MANY_CALLS || now - share.servedNanos >= MIN_UNSERVED_NANOS)
                 && share.ratio() < total.ratio() * STARVING_RATIO;
     }
 
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/WaitingCalls.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/WaitingCalls.java
@@ -107,9 +107,6 @@
         }
         double waitNanos = drainNanos(ahead, rate.getAsDouble());
         long medianNanos = baselines.medianNanos(call.request());
-        if (waitNanos + medianNanos > call.goal().remainingNanos(now) && !shares.isStarving(call.tenant(), now)) {
-            waitNanos = drainNanos(queue.callsAheadOfLate(call, weight), rate.getAsDouble());
-        }
         return limits.refusalAfter(call, Math.max(waitNanos, room.restNanos()) + medianNanos, now);
     }
 
@@ -135,10 +132,10 @@
             return Optional.empty();
         }
         double drainNanos = drainNanos(queue.callsAhead(call, weight) + 1, rate.getAsDouble());
-        double spread = LOWEST_SPREAD + random.nextDouble() * (HIGHEST_SPREAD - LOWEST_SPREAD);
         double latest = Math.min(MAX_RETRY_AFTER.toNanos(), call.deadline().remainingNanos(now) * MAX_RETRY_SHARE);
-        double nanos = Math.max(MIN_RETRY_AFTER.toNanos(), Math.min(drainNanos * spread, latest));
-        return Optional.of(Duration.ofNanos((long) nanos));
+        double high = Math.min(drainNanos * HIGHEST_SPREAD, latest);
+        double low = Math.max(MIN_RETRY_AFTER.toNanos(), Math.min(drainNanos, high) * LOWEST_SPREAD);
+        return Optional.of(Duration.ofNanos((long) (low + random.nextDouble() * Math.max(0, high - low))));
     }
 
     /** Removes and returns the calls that can be assigned now and those that can no longer be answered in time. */
