--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/TenantShares.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/TenantShares.java
@@ -26,7 +26,7 @@
     private static final double MANY_CALLS = 8;
 
     /** Starving means being served less than a quarter as often as all tenants. Help begins earlier, as calls sent may be answered late. */
-    private static final double STARVING_RATIO = 0.4;
+    private static final double STARVING_RATIO = 0.5;
 
     /** One of this many dispatches goes to a tenant that starves. */
     static final int DISPATCHES_PER_TURN = 8;
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/WaitingCalls.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/WaitingCalls.java
@@ -124,11 +124,13 @@
 
     /**
      * Returns when the caller of a refused {@code call} should return, from the rate at which the queue drains; empty if the rate is
-     * not known.
+     * not known, or if the caller could not be answered in time any more when it returns. Telling such callers to return soon would only
+     * add to the load.
      */
     Optional<Duration> retryAfter(Call call, int weight, long now) {
         OptionalDouble rate = isByUrgency() ? drainRate.perSecond(now) : OptionalDouble.empty();
-        if (rate.isEmpty()) {
+        double leftOnReturn = call.deadline().remainingNanos(now) * (1 - MAX_RETRY_SHARE);
+        if (rate.isEmpty() || leftOnReturn < baselines.medianNanos(call.request())) {
             return Optional.empty();
         }
         double drainNanos = drainNanos(queue.callsAhead(call, weight) + 1, rate.getAsDouble());
