Merge queueing and refusal under overload

Only deployments whose configuration has tenants tell tenants apart, refuse by the measured drain rate and state a Retry-After from it; the others keep the order, the refusals and the Retry-After that they had (Dispatcher.setHasTenants). Probes keep to probesPerS wherever the settings state it.

--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
@@ -13,10 +13,13 @@
 import io.anvilpick.limits.ShareBudget;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongConsumer;
+import java.util.function.LongFunction;
 import java.util.function.ObjLongConsumer;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -39,13 +42,13 @@
     private final TargetPolicy policy;
     private final ExtraCallBudget retries;
     private final ExtraCallBudget hedges;
-    private final CallQueue queue = new CallQueue();
-
     private final LatencyBaselines baselines = new LatencyBaselines();
     private final TargetSet targets;
     private final OutcomeRecorder outcomes;
-    private final AdmissionLimits limits = new AdmissionLimits(baselines);
+    private final WaitingCalls waiting;
+    private final ProbeAllowance probes = new ProbeAllowance();
     private @Nullable Configuration configuration;
+    private int daemons = 1;
     private long nextAssignmentId;
 
     private Dispatcher(Builder builder) {
@@ -53,7 +56,9 @@
         this.policy = builder.policy;
         this.retries = builder.retries;
         this.hedges = builder.hedges;
-        this.targets = new TargetSet(new TargetPicker(policy, checkNotNull(builder.random, "random")), policy, time);
+        RandomGenerator random = checkNotNull(builder.random, "random");
+        this.targets = new TargetSet(new TargetPicker(policy, random), policy, time);
+        this.waiting = new WaitingCalls(CallOrder.of(policy), baselines, random);
         this.outcomes = new OutcomeRecorder(targets, baselines);
     }
 
@@ -66,69 +71,80 @@
      * Applies {@code service} of {@code newConfiguration}. Calls in flight and the state of unchanged targets are kept.
      */
     public void configure(ServiceConfig service, Configuration newConfiguration) {
-        lock.lock();
-        try {
+        runLocked(now -> {
             configuration = newConfiguration;
-            targets.configure(service, time.nanos());
-        } finally {
-            lock.unlock();
-        }
+            targets.configure(service, now);
+            probes.setTargets(service.targets().size());
+        });
     }
 
     /** Applies {@code service} with the traits of its targets by id. The state of unchanged targets is kept. */
     public void configure(ServiceConfig service, Map<String, TargetTraits> traits) {
-        lock.lock();
-        try {
-            targets.configure(service, traits, time.nanos());
-        } finally {
-            lock.unlock();
-        }
+        runLocked(now -> {
+            targets.configure(service, traits, now);
+            probes.setTargets(service.targets().size());
+        });
     }
 
     /** Sets the hosts or addresses that the platform lists as leaving; targets there receive no new calls. */
     public void setLeavingAddresses(Set<String> addresses) {
-        lock.lock();
-        try {
+        runLocked(now -> {
             targets.setLeavingAddresses(addresses);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /** Sets the zones whose targets get neither calls nor probes. Calls in flight there are not affected. */
     public void setEvacuatedZones(Set<String> zones) {
-        lock.lock();
-        try {
-            targets.setEvacuatedZones(zones, time.nanos());
-        } finally {
-            lock.unlock();
-        }
+        runLocked(now -> targets.setEvacuatedZones(zones, now));
+    }
+
+    /**
+     * Sets whether calls have tenants. If so, tenants are told apart when calls wait, and refused callers return by the rate at which
+     * the queue drains. By default they have none.
+     */
+    public void setHasTenants(boolean hasTenants) {
+        runLocked(now -> waiting.setHasTenants(hasTenants));
     }
 
     /** Sets what may be sent to cold targets; empty if that is not limited. */
     public void setColdTargetRules(Optional<ColdTargetRules> rules) {
-        lock.lock();
-        try {
-            targets.setColdTargetRules(rules, time.nanos());
-        } finally {
-            lock.unlock();
-        }
+        runLocked(now -> targets.setColdTargetRules(rules, now));
     }
 
     /**
      * Sets the number of daemons, including this one, that may connect to the same targets. Each daemon keeps to its
-     * share of the connections.
+     * share of the connections and of the probes.
      *
      * @throws IllegalArgumentException if {@code count} is not positive
      */
     public void setDaemonCount(int count) {
         checkArgument(count > 0, "count must be positive: %s", count);
-        lock.lock();
-        try {
-            targets.setDaemonCount(count, time.nanos());
-        } finally {
-            lock.unlock();
-        }
+        runLocked(now -> {
+            daemons = count;
+            probes.setDaemons(count);
+            targets.setDaemonCount(count, now);
+        });
+    }
+
+    /**
+     * Limits the load probes that all daemons together send to a target on average. By default there is no limit.
+     *
+     * @param perTargetAndSecond probes a second; infinite for no limit
+     * @throws IllegalArgumentException if {@code perTargetAndSecond} is not positive
+     */
+    public void setProbeLimit(double perTargetAndSecond) {
+        checkArgument(perTargetAndSecond > 0, "perTargetAndSecond must be positive: %s", perTargetAndSecond);
+        runLocked(now -> {
+            probes.setLimit(perTargetAndSecond);
+        });
+    }
+
+    /**
+     * Returns whether a waiting call is to have targets probed now. Where probes are limited, one round serves all waiting calls, and
+     * this returns true once for each round.
+     */
+    public boolean tryBeginProbesOfWaiting() {
+        return locked(now -> probes.tryBeginSharedRound(now));
     }
 
     /** Records the load that a target reported in reply to a probe. */
@@ -157,37 +173,39 @@
     }
 
     private void update(String targetId, ObjLongConsumer<TargetState> change) {
-        lock.lock();
-        try {
+        runLocked(now -> {
             TargetState target = targets.find(targetId);
             if (target != null) {
-                change.accept(target, time.nanos());
+                change.accept(target, now);
             }
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
      * Returns up to {@code maxTargets} targets to probe for their load before {@code call} is sent. Returns none if the
-     * load of a good target is known already, or if the policy is not {@link TargetPolicy.EarliestAnswer}.
+     * load of a good target is known already, if the probes are used up, or if the policy is not
+     * {@link TargetPolicy.EarliestAnswer}.
      *
      * <p>Under that policy, an ejected target whose recovery is due for a test is returned in addition.
      */
     public ImmutableList<TargetConfig> targetsToProbe(Call call, Set<String> excluded, int maxTargets) {
-        lock.lock();
-        try {
-            return targets.targetsToProbe(pickRequest(call, time.nanos(), 0), excluded, maxTargets);
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> {
+            // One more than wanted, for an ejected target whose recovery is due for a test.
+            int available = probes.available(maxTargets + 1, now);
+            if (available == 0) {
+                return ImmutableList.of();
+            }
+            ImmutableList<TargetConfig> promising =
+                    targets.targetsToProbe(pickRequest(call, now, 0), excluded, maxTargets);
+            ImmutableList<TargetConfig> allowed = promising.subList(0, Math.min(promising.size(), available));
+            probes.spend(allowed.size());
+            return allowed;
+        });
     }
 
     /** Submits a new call. */
     public Admission submit(Call call) {
-        lock.lock();
-        try {
-            long now = time.nanos();
+        return locked(now -> {
             Optional<ErrorKind> refusal = refusalToSend(call, now);
             if (refusal.isPresent()) {
                 return new Admission.Refused(refusal.get());
@@ -199,16 +217,16 @@
             if (hedges != retries) {
                 hedges.deposit();
             }
-            if (queue.size() == 0) {
+            waiting.onAsked(call, now);
+            if (waiting.size() == 0) {
                 TargetState target = targets.pick(pickRequest(call, now, 0), Set.of());
                 if (target != null) {
+                    waiting.onSent(call, now);
                     return new Admission.Assigned(assign(call, target, now));
                 }
             }
             return enqueue(call, Set.of(), now);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
@@ -218,16 +236,12 @@
      * @param failed the ids of the targets that the call has been sent to
      */
     public Admission retry(Call call, Set<String> failed) {
-        lock.lock();
-        try {
-            long now = time.nanos();
+        return locked(now -> {
             if (refusalToSend(call, now).isEmpty() && !retries.tryWithdraw()) {
                 return new Admission.Refused(ErrorKind.OVERLOADED);
             }
             return readmit(call, failed, now);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
@@ -236,39 +250,25 @@
      * @param failed the ids of the targets that the call has been assigned to
      */
     public Admission resubmit(Call call, Set<String> failed) {
-        lock.lock();
-        try {
-            return readmit(call, failed, time.nanos());
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> readmit(call, failed, now));
     }
 
     /** Records the outcome of {@code assignment} and drains the queue as {@link #dispatch} does. */
     public DispatchResult finish(Assignment assignment, CallResult result) {
-        lock.lock();
-        try {
-            long now = time.nanos();
+        return locked(now -> {
             TargetState target = targets.find(assignment.target().id());
             if (target != null && target.finish(assignment)) {
                 outcomes.recordOutcome(target, assignment, result, now);
             }
             return drain(now);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
      * Drains the queue: returns the calls that can be assigned now and those that can no longer be answered in time.
      */
     public DispatchResult dispatch() {
-        lock.lock();
-        try {
-            return drain(time.nanos());
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> drain(now));
     }
 
     /**
@@ -276,39 +276,25 @@
      * answered by then. From now on, calls that cannot are refused.
      */
     public DispatchResult stopBy(Deadline end) {
-        lock.lock();
-        try {
-            long now = time.nanos();
-            Room room = targets.room(now);
-            limits.stopBy(end);
-            return new DispatchResult(
-                    ImmutableList.of(), queue.refuse((call, ahead) -> limits.refusalToWait(call, ahead, room, now)));
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> waiting.stopBy(end, targets.room(now), now));
     }
 
     /** Removes {@code call} from the queue and returns the reason if it can no longer be answered in time. */
     public Optional<ErrorKind> withdrawIfLate(Call call) {
-        lock.lock();
-        try {
-            long now = time.nanos();
-            return refusalOfEvacuation(now)
-                    .or(() -> limits.refusalOfWaiting(call, targets.waitNanos(now), now))
-                    .filter(kind -> queue.remove(call));
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> waiting.withdrawIfLate(call, hindrance(now), now));
+    }
+
+    /**
+     * Returns when the caller of {@code call}, which was refused, should return, so that the queue has drained by then; empty if it
+     * is not known how fast it drains.
+     */
+    public Optional<Duration> retryAfter(Call call) {
+        return locked(now -> waiting.retryAfter(call, weightOf(call), now));
     }
 
     /** Removes {@code call} from the queue; returns false if it is not queued. */
     public boolean cancel(Call call) {
-        lock.lock();
-        try {
-            return queue.remove(call);
-        } finally {
-            lock.unlock();
-        }
+        return locked(now -> waiting.remove(call, now));
     }
 
     /**
@@ -316,14 +302,11 @@
      * class without a server error.
      */
     public long hedgeDelayNanos(Call call) {
-        lock.lock();
-        try {
+        return locked(now -> {
             LatencyBaseline baseline = baselines.of(call.request());
-            long goalNanos = call.goal().remainingNanos(time.nanos());
+            long goalNanos = call.goal().remainingNanos(now);
             return policy.hedgeDelayNanos(baseline.medianNanos(), baseline.hedgeDelayNanos(), goalNanos);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /**
@@ -341,14 +324,12 @@
      * @param tried the ids of the targets that the call has been sent to
      */
     public Optional<Assignment> hedge(Assignment first, Set<String> tried) {
-        lock.lock();
-        try {
-            long now = time.nanos();
+        return locked(now -> {
             Call call = first.call();
             boolean allowed = call.request().idempotent()
                     && policy.queuesCalls()
-                    && queue.size() == 0
-                    && limits.refusalToSend(call, now).isEmpty();
+                    && waiting.size() == 0
+                    && waiting.refusalToSend(call, now).isEmpty();
             if (!allowed) {
                 return Optional.empty();
             }
@@ -357,26 +338,32 @@
                 return Optional.empty();
             }
             return Optional.of(assign(call, target, now));
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /** Returns the number of queued calls. */
     public int waitingCalls() {
+        return locked(now -> waiting.size());
+    }
+
+    /** Returns the present state of each target. */
+    public ImmutableList<TargetView> targets() {
+        return locked(now -> targets.views(now));
+    }
+
+    private <T> T locked(LongFunction<T> decision) {
         lock.lock();
         try {
-            return queue.size();
+            return decision.apply(time.nanos());
         } finally {
             lock.unlock();
         }
     }
 
-    /** Returns the present state of each target. */
-    public ImmutableList<TargetView> targets() {
+    private void runLocked(LongConsumer change) {
         lock.lock();
         try {
-            return targets.views(time.nanos());
+            change.accept(time.nanos());
         } finally {
             lock.unlock();
         }
@@ -384,7 +371,11 @@
 
     /** Returns why {@code call} is not to be sent at once; empty if it may be sent. */
     private Optional<ErrorKind> refusalToSend(Call call, long now) {
-        return limits.refusalToSend(call, now).or(() -> refusalOfEvacuation(now));
+        return waiting.refusalToSend(call, now).or(() -> refusalOfEvacuation(now));
+    }
+
+    private WaitingCalls.Hindrance hindrance(long now) {
+        return new WaitingCalls.Hindrance(refusalOfEvacuation(now), targets.waitNanos(now));
     }
 
     private Optional<ErrorKind> refusalOfEvacuation(long now) {
@@ -396,42 +387,33 @@
         if (refusal.isPresent()) {
             return new Admission.Refused(refusal.get());
         }
+        waiting.onAsked(call, now);
         TargetState target = targets.pick(pickRequest(call, now, 0), failed);
-        return target != null ? new Admission.Assigned(assign(call, target, now)) : enqueue(call, failed, now);
+        if (target == null) {
+            return enqueue(call, failed, now);
+        }
+        waiting.onSent(call, now);
+        return new Admission.Assigned(assign(call, target, now));
     }
 
     private Admission enqueue(Call call, Set<String> failed, long now) {
-        int weight = weightOf(call);
-        double ahead = queue.callsAhead(call.tenant(), weight);
-        Optional<ErrorKind> refusal = limits.refusalToWait(call, ahead, targets.room(now), now);
-        if (refusal.isPresent()) {
-            // Only a rest that the targets have asked for delays the caller's return. Another daemon may own a cold
-            // target.
-            Room resting = new Room(targets.room(now).slots(), targets.restNanos(now));
-            return new Admission.Refused(refusal.get(), limits.retryAfter(call, resting, now));
-        }
-        queue.add(call, weight, failed);
-        return new Admission.Waiting();
+        return waiting.add(call, failed, placement(now), targets.room(now), targets.restNanos(now), daemons > 1, now);
     }
 
     private DispatchResult drain(long now) {
-        long restNanos = targets.waitNanos(now);
-        Optional<ErrorKind> evacuation = refusalOfEvacuation(now);
-        return queue.drain(new CallQueue.DrainPolicy() {
-            @Override
-            public Optional<ErrorKind> refusalOf(Call call) {
-                return evacuation.or(() -> limits.refusalOfWaiting(call, restNanos, now));
-            }
+        return waiting.drain(placement(now), hindrance(now), now);
+    }
 
+    private WaitingCalls.Placement placement(long now) {
+        return new WaitingCalls.Placement() {
             @Override
-            public boolean willMissGoal(Call call) {
-                return !call.goal().equals(call.deadline())
-                        && call.goal().remainingNanos(now) < baselineNanos(call.request());
+            public int weightOf(Call call) {
+                return Dispatcher.this.weightOf(call);
             }
 
             @Override
-            public int weightOf(Call call) {
-                return Dispatcher.this.weightOf(call);
+            public boolean hasRoomFor(Call call, Set<String> failed) {
+                return targets.pickAgain(pickRequest(call, now, waiting.size() + 1), failed) != null;
             }
 
             @Override
@@ -439,7 +421,7 @@
                 TargetState target = targets.pickAgain(pickRequest(call, now, queued), failed);
                 return target == null ? null : assign(call, target, now);
             }
-        });
+        };
     }
 
     private int weightOf(Call call) {
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
@@ -54,6 +54,7 @@
     private final String zone;
     private final String name;
     private volatile SharedBudget budget;
+    private volatile double probeLimit = Double.POSITIVE_INFINITY;
     private volatile int daemons = 1;
     private volatile @Nullable Deadline end;
 
@@ -142,6 +143,10 @@
         ServiceConfig service = serviceOf(row.service().name(), connectionsPerTarget, targets);
         ColdStarts coldStarts = new ColdStarts(coldStart, coldStart.isPresent() ? view.members() : ImmutableList.of());
         row.dispatcher().setDaemonCount(daemons);
+        row.dispatcher()
+                .setHasTenants(view.configuration()
+                        .map(each -> !each.tenants().isEmpty())
+                        .orElse(false));
         if (!row.finished() || row.targets() != targets || !row.coldStarts().equals(coldStarts)) {
             row.dispatcher().setColdTargetRules(rulesOf(coldStarts, targets));
         }
@@ -167,6 +172,12 @@
         rows.forEach(shard -> shard.values().forEach(row -> applyBudget(row.budget())));
     }
 
+    /** Limits the probes that a target receives a second, as {@link Dispatcher#setProbeLimit} does, from now on. */
+    public void setProbeLimit(double perTargetAndSecond) {
+        probeLimit = perTargetAndSecond;
+        all().values().forEach(dispatcher -> dispatcher.setProbeLimit(perTargetAndSecond));
+    }
+
     /** Calls {@link Dispatcher#stopBy} for each dispatcher, and for those created later, and returns what left their queues. */
     public ImmutableList<DispatchResult> stopBy(Deadline value) {
         end = value;
@@ -201,6 +212,7 @@
                 .policy(new TargetPolicy.EarliestAnswer(zone))
                 .extraCalls(own)
                 .build();
+        dispatcher.setProbeLimit(probeLimit);
         Deadline stop = end;
         if (stop != null) {
             dispatcher.stopBy(stop);
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -110,6 +110,7 @@
                 initial.extraCalls(),
                 initial.self().zone(),
                 initial.self().name());
+        dispatchers.setProbeLimit(initial.probesPerSecond());
         this.freshness = new ViewFreshness(time, initial.watchTimes().bound());
         this.grantorMembers =
                 new GrantorMembers(time, initial.self().name(), freshness::provenAge, this::lapsedMembers);
@@ -279,7 +280,9 @@
 
     /** Adopts those values of {@code next} that need no restart. Calls in flight are not affected. */
     public void reload(EntrySettings next) {
-        dispatchers.updateBudget(settings.apply(next).extraCalls());
+        EntrySettings applied = settings.apply(next);
+        dispatchers.updateBudget(applied.extraCalls());
+        dispatchers.setProbeLimit(applied.probesPerSecond());
     }
 
     /** Returns the active settings. */
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
@@ -25,6 +25,8 @@
  * @param addressesGoodFor time for which callers may cache an answer of the directory
  * @param watchTimes how long the daemon waits for changes of the store; a change needs a restart
  * @param allowanceBounds how far tenants may exceed their allowances; a change needs a restart
+ * @param probesPerSecond maximum number of load probes that a target receives a second from all daemons together; infinite if there is
+ *     no limit
  */
 public record EntrySettings(
         EntryMember self,
@@ -34,10 +36,12 @@
         Duration grace,
         Duration addressesGoodFor,
         WatchTimes watchTimes,
-        AllowanceBounds allowanceBounds) {
+        AllowanceBounds allowanceBounds,
+        double probesPerSecond) {
     public EntrySettings {
         checkArgument(grace.isPositive(), "grace must be positive: %s", grace);
         checkArgument(addressesGoodFor.isPositive(), "addressesGoodFor must be positive: %s", addressesGoodFor);
+        checkArgument(probesPerSecond > 0, "probesPerSecond must be positive: %s", probesPerSecond);
     }
 
     /** Returns a builder of the settings of the daemon that registers as {@code self}. */
@@ -57,7 +61,8 @@
                 next.grace,
                 next.addressesGoodFor,
                 watchTimes,
-                allowanceBounds);
+                allowanceBounds,
+                next.probesPerSecond);
     }
 
     /** Returns the names of the settings that differ in {@code other}. */
@@ -71,6 +76,7 @@
         addIfDifferent(names, "addressesGoodFor", addressesGoodFor, other.addressesGoodFor);
         addIfDifferent(names, "watchTimes", watchTimes, other.watchTimes);
         addIfDifferent(names, "allowanceBounds", allowanceBounds, other.allowanceBounds);
+        addIfDifferent(names, "probesPerSecond", probesPerSecond, other.probesPerSecond);
         return names.build();
     }
 
@@ -89,6 +95,7 @@
         private @Nullable Duration grace;
         private @Nullable Duration addressesGoodFor;
         private WatchTimes watchTimes = WatchTimes.within(Optional.empty(), Optional.empty());
+        private double probesPerSecond = Double.POSITIVE_INFINITY;
 
         private AllowanceBounds allowanceBounds = AllowanceBounds.DEFAULT;
 
@@ -138,11 +145,17 @@
             return this;
         }
 
+        /** Sets the maximum number of load probes that a target receives a second from all daemons together. The default is no limit. */
+        public Builder probesPerSecond(double value) {
+            probesPerSecond = value;
+            return this;
+        }
+
         /**
          * Returns the settings.
          *
          * @throws NullPointerException if a setting was not set
-         * @throws IllegalArgumentException if a duration is not positive
+         * @throws IllegalArgumentException if a duration or a limit is not positive
          */
         public EntrySettings build() {
             return new EntrySettings(
@@ -153,7 +166,8 @@
                     checkNotNull(grace, "grace"),
                     checkNotNull(addressesGoodFor, "addressesGoodFor"),
                     watchTimes,
-                    allowanceBounds);
+                    allowanceBounds,
+                    probesPerSecond);
         }
     }
 }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/NettyTargetClient.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/NettyTargetClient.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import org.jspecify.annotations.Nullable;
 
 /** A client that sends requests and probes to targets over pooled HTTP/1.1 connections. Thread safe. */
 public final class NettyTargetClient implements TargetClient, ProbeClient {
@@ -80,15 +81,32 @@
 
     @Override
     public CompletableFuture<ProbeReply> probe(TargetConfig target, String path) {
-        return probes.computeIfAbsent(target.address(), address -> {
-            PendingExchange exchange = PendingExchange.probe(target, path, Deadline.after(time, PROBE_TIMEOUT));
-            CompletableFuture<ProbeReply> report = exchange.reply()
-                    .thenCompose(reply -> retryIfStale(exchange, reply))
-                    .thenApply(NettyTargetClient::probeReplyOf);
-            report.whenComplete((reply, failure) -> loops.execute(() -> probes.remove(address)));
-            sendOnIdleConnection(exchange);
-            return report;
-        });
+        CompletableFuture<ProbeReply> report = new CompletableFuture<>();
+        CompletableFuture<ProbeReply> running = probes.putIfAbsent(target.address(), report);
+        if (running != null) {
+            return running;
+        }
+        PendingExchange exchange = PendingExchange.probe(target, path, Deadline.after(time, PROBE_TIMEOUT));
+        exchange.reply()
+                .thenCompose(reply -> retryIfStale(exchange, reply))
+                .thenApply(NettyTargetClient::probeReplyOf)
+                .whenComplete((reply, failure) -> complete(target.address(), report, reply, failure));
+        sendOnIdleConnection(exchange);
+        return report;
+    }
+
+    /** Completes a probe. It is no longer shared by then, so that one that is sent afterwards gets a reply of its own. */
+    private void complete(
+            String address,
+            CompletableFuture<ProbeReply> report,
+            @Nullable ProbeReply reply,
+            @Nullable Throwable failure) {
+        probes.remove(address, report);
+        if (failure != null) {
+            report.completeExceptionally(failure);
+        } else {
+            report.complete(reply);
+        }
     }
 
     /**
