--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/FleetStateTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -64,6 +65,19 @@
         assertEquals(List.of("a"), ids());
     }
 
+    /** Guards against a daemon that grants tokens although its registration has lapsed and the others no longer count it. */
+    @Test
+    void lapsedDaemonsStayInTheViewAndAreListed() {
+        EntryMember member = new EntryMember("d", "d:1", "d:2", "r", "z");
+        state.apply(List.of(new FleetChange.MemberRegistered(member)));
+        state.onStoreUnavailable("no answer");
+        state.apply(List.of(new FleetChange.MemberRemoved("d")));
+        assertEquals(List.of(member), state.view().members());
+        assertEquals(Set.of("d"), state.lapsedMembers());
+        state.apply(List.of(new FleetChange.MemberRegistered(member)));
+        assertEquals(Set.of(), state.lapsedMembers());
+    }
+
     /** Guards against requests at a target that has left, because one call to the store had failed (issue 36). */
     @ParameterizedTest
     @ValueSource(longs = {200, 3_000})
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/ViewFreshnessTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/ViewFreshnessTest.java
@@ -20,6 +20,16 @@
         assertEquals(7, freshness.revision());
     }
 
+    /** Guards against a process that was suspended and takes a response in its socket for current. */
+    @Test
+    void provenAgeRunsFromTheStartOfTheRead() {
+        freshness.recordReadStart();
+        time.advance(Duration.ofSeconds(30));
+        freshness.recordRead(7, Duration.ofMillis(300));
+        assertEquals(Duration.ofMillis(300), freshness.age());
+        assertEquals(Duration.ofMillis(30_000), freshness.provenAge());
+    }
+
     @Test
     void watchThatBecomesOverdueCountsOnce() {
         freshness.recordWatchStart(OVERDUE_AFTER);
