A share of the calls leaves a zone whose targets have too little room

Cause: each call was placed on its own. Far targets were tried only after near ones were probed in vain, without probes of their own, and each call could open a new connection to any of them. Change: ZoneSpill decides the share, the zones and the few far targets of each daemon from load reports; ZonedPicker applies it; Dispatcher.spill() shows it. Without Builder.spillAs, and while there is room, each choice is as before.

--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
@@ -42,6 +42,7 @@
     private final CallQueue queue = new CallQueue();
 
     private final LatencyBaselines baselines = new LatencyBaselines();
+    private final ZoneSpill spill;
     private final TargetSet targets;
     private final OutcomeRecorder outcomes;
     private final AdmissionLimits limits = new AdmissionLimits(baselines);
@@ -53,8 +54,16 @@
         this.policy = builder.policy;
         this.retries = builder.retries;
         this.hedges = builder.hedges;
-        this.targets = new TargetSet(new TargetPicker(policy, checkNotNull(builder.random, "random")), policy, time);
-        this.outcomes = new OutcomeRecorder(targets, baselines);
+        this.spill = spillOf(builder);
+        this.targets =
+                new TargetSet(new TargetPicker(policy, checkNotNull(builder.random, "random")), policy, time, spill);
+        this.outcomes = new OutcomeRecorder(targets, baselines, spill);
+    }
+
+    private static ZoneSpill spillOf(Builder builder) {
+        return builder.spillName != null && builder.policy instanceof TargetPolicy.EarliestAnswer earliest
+                ? new ZoneSpill(earliest.zone(), builder.spillName)
+                : ZoneSpill.disabled();
     }
 
     /** Returns a new builder. */
@@ -113,7 +122,10 @@
 
     /** Records the load that a target reported in reply to a probe. */
     public void recordLoadReport(String targetId, LoadReport report) {
-        update(targetId, (state, now) -> state.onProbe(now, report));
+        update(targetId, (state, now) -> {
+            state.onProbe(now, report);
+            spill.onReport(state, report, now);
+        });
     }
 
     /** Records that a target replied to a load probe without reporting its load. */
@@ -360,6 +372,16 @@
         }
     }
 
+    /** Returns which calls leave the zone at present. */
+    public SpillVerdict spill() {
+        lock.lock();
+        try {
+            return targets.spill(time.nanos());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private Admission readmit(Call call, Set<String> failed, long now) {
         Optional<ErrorKind> refusal = limits.refusalToSend(call, now);
         if (refusal.isPresent()) {
@@ -376,6 +398,7 @@
         if (refusal.isPresent()) {
             return new Admission.Refused(refusal.get(), limits.retryAfter(call, targets.room(now), now));
         }
+        spill.onQueued(now);
         queue.add(call, weight, failed);
         return new Admission.Waiting();
     }
@@ -425,7 +448,7 @@
     }
 
     private TargetPicker.PickRequest pickRequest(Call call, long now, int queued) {
-        return new TargetPicker.PickRequest(now, call.goal(), baselineNanos(call.request()), queued);
+        return new TargetPicker.PickRequest(call.id(), now, call.goal(), baselineNanos(call.request()), queued);
     }
 
     private long baselineNanos(RequestConfig request) {
@@ -436,6 +459,7 @@
     public static final class Builder {
         private @Nullable TimeSource time;
         private @Nullable RandomGenerator random;
+        private @Nullable String spillName;
         private TargetPolicy policy = new TargetPolicy.LateBinding();
         private ExtraCallBudget retries = ShareBudget.ofPercent(RETRY_PERCENT, RETRY_RESERVE);
         private ExtraCallBudget hedges = ShareBudget.ofPercent(HEDGE_PERCENT, HEDGE_RESERVE);
@@ -460,6 +484,17 @@
             return this;
         }
 
+        /**
+         * Lets a share of the calls leave the zone when the zone's targets have too little room, under
+         * {@link TargetPolicy.EarliestAnswer}. Without this, each call is placed by its own estimates alone.
+         *
+         * @param daemon the name of this daemon, by which it ranks the targets of other zones
+         */
+        public Builder spillAs(String daemon) {
+            spillName = daemon;
+            return this;
+        }
+
         /** Sets one budget for both retries and hedges. By default each has a budget of its own. */
         public Builder extraCalls(ExtraCallBudget value) {
             retries = value;
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/OutcomeRecorder.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/OutcomeRecorder.java
@@ -6,8 +6,10 @@
 final class OutcomeRecorder {
     private final TargetSet targets;
     private final LatencyBaselines baselines;
+    private final ZoneSpill spill;
 
-    OutcomeRecorder(TargetSet targets, LatencyBaselines baselines) {
+    OutcomeRecorder(TargetSet targets, LatencyBaselines baselines, ZoneSpill spill) {
+        this.spill = spill;
         this.targets = targets;
         this.baselines = baselines;
     }
@@ -16,6 +18,9 @@
     void recordOutcome(TargetState target, Assignment assignment, CallResult result, long now) {
         long elapsed = now - assignment.startedNanos();
         long baselineNanos = baselines.medianNanos(assignment.call().request());
+        if (result instanceof CallResult.Answered answered) {
+            answered.load().ifPresent(report -> spill.onReport(target, report, now));
+        }
         switch (result) {
             case CallResult.Answered answered -> recordAnswered(target, assignment, answered, now);
             case CallResult.Shed shed -> recordShed(target, shed.notice(), now);
@@ -30,6 +35,7 @@
     /** Records a rejection. One that asks for rest is due to missing room, which is no failure of the target. */
     private void recordShed(TargetState target, TargetNotice notice, long now) {
         target.onShed();
+        spill.onRejection(target, now);
         if (!(notice instanceof TargetNotice.Rest)) {
             target.onFailure(now, false, targets.mayEjectMore());
         }
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetPicker.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetPicker.java
@@ -37,6 +37,9 @@
      */
     private static final int MAX_FAR_PROBES = 2;
 
+    /** Price of a call to another zone, as nanoseconds of latency. Traffic between zones is charged by the byte. */
+    private static final long FAR_PRICE_NANOS = 20_000_000L;
+
     /** Slowdown of a target that is idle and as fast as usual. */
     private static final double BASELINE_SLOWDOWN = 1.0;
 
@@ -58,12 +61,13 @@
     /**
      * The properties of a call for which a target is to be picked.
      *
+     * @param callId the identifier of the call
      * @param nowNanos the present monotonic clock reading
      * @param goal the time by which the answer should arrive
      * @param baselineNanos the median latency of the request class; zero if unknown
      * @param queued the number of calls at the same level of the queue, including this one; zero if it is not queued
      */
-    record PickRequest(long nowNanos, Deadline goal, long baselineNanos, int queued) {}
+    record PickRequest(long callId, long nowNanos, Deadline goal, long baselineNanos, int queued) {}
 
     /** Returns the target for a call, or null if the call should wait. */
     @Nullable
@@ -190,6 +194,59 @@
                 : lowestRanked(far, MAX_FAR_PROBES);
     }
 
+    /**
+     * Returns the target with the lowest cost among {@code far} targets and freshly reported {@code near} ones; null if none has room
+     * and is not slow. The cost is the expected slowdown, for far targets plus the price of a far call.
+     */
+    @Nullable
+    TargetState pickForSpill(List<TargetState> near, List<TargetState> far, PickRequest request) {
+        TargetState best = null;
+        double lowestCost = Double.MAX_VALUE;
+        double price = request.baselineNanos() == 0 ? 0 : (double) FAR_PRICE_NANOS / request.baselineNanos();
+        for (TargetState target : far) {
+            double slowdown = target.expectedSlowdown(request.nowNanos(), request.baselineNanos());
+            if (target.hasRoom(request.nowNanos()) && slowdown < HIGH_SLOWDOWN && slowdown + price < lowestCost) {
+                best = target;
+                lowestCost = slowdown + price;
+            }
+        }
+        for (TargetState target : near) {
+            if (!target.isFreshlyReported(request.nowNanos()) || !target.hasRoom(request.nowNanos())) {
+                continue;
+            }
+            double slowdown = target.expectedSlowdown(request.nowNanos(), request.baselineNanos());
+            if (slowdown < GOOD_SLOWDOWN && slowdown < lowestCost) {
+                best = target;
+                lowestCost = slowdown;
+            }
+        }
+        return best;
+    }
+
+    /** Returns whether one of {@code candidates} has just reported that it has room and is not slow. */
+    boolean hasFreshGood(List<TargetState> candidates, PickRequest request) {
+        for (TargetState target : candidates) {
+            if (target.isFreshlyReported(request.nowNanos())
+                    && target.hasRoom(request.nowNanos())
+                    && target.expectedSlowdown(request.nowNanos(), request.baselineNanos()) < GOOD_SLOWDOWN) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the far targets to probe before a call that leaves the zone is sent. */
+    ImmutableList<TargetConfig> farTargetsToProbe(List<TargetState> candidates, PickRequest request) {
+        List<ProbeCandidate> ranked = new ArrayList<>();
+        for (TargetState target : candidates) {
+            if (!target.isFreshlyReported(request.nowNanos()) && target.mayHaveRoom(request.nowNanos())) {
+                double slowdown = target.expectedSlowdown(request.nowNanos(), request.baselineNanos());
+                ranked.add(new ProbeCandidate(target, slowdown + random.nextDouble() * RANK_JITTER));
+            }
+        }
+        return lowestRanked(ranked, MAX_FAR_PROBES);
+    }
+
     private static ImmutableList<TargetConfig> lowestRanked(List<ProbeCandidate> candidates, int maxTargets) {
         return candidates.stream()
                 .sorted(Comparator.comparingDouble(ProbeCandidate::rank))
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetSet.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetSet.java
@@ -24,10 +24,11 @@
     private static final int MAX_EJECTED_PERCENT = 50;
     private static final int PERCENT = 100;
 
-    private final TargetPicker picker;
+    private final ZonedPicker picker;
     private final TargetPolicy policy;
     private final PacedBudget probeBudget;
     private final ServiceEstimates estimates = ServiceEstimates.create();
+    private final ZoneSpill spill;
     private final Announcements announcements = new Announcements();
     private Map<String, TargetState> targets = new LinkedHashMap<>();
     private Set<String> leavingAddresses = Set.of();
@@ -35,8 +36,9 @@
     private @Nullable ServiceConfig service;
     private int daemons = 1;
 
-    TargetSet(TargetPicker picker, TargetPolicy policy, TimeSource time) {
-        this.picker = picker;
+    TargetSet(TargetPicker picker, TargetPolicy policy, TimeSource time, ZoneSpill spill) {
+        this.spill = spill;
+        this.picker = new ZonedPicker(picker, spill);
         this.policy = policy;
         this.probeBudget = PacedBudget.perMilleOfSlots(time, 0, 0);
     }
@@ -56,6 +58,7 @@
             next.put(target.id(), stateOf(target, sameProcess ? known : null, limit, first, now));
         }
         targets = next;
+        spill.configure(next.values());
         announcements.retain(next.keySet(), now);
         service = changed;
         probeBudget.resize(changed.measuringPerMille(), (double) changed.slotsPerTarget() * next.size());
@@ -131,6 +134,17 @@
         }
     }
 
+    /** Returns which calls leave the zone. */
+    SpillVerdict spill(long now) {
+        return spill.update(servingTargets(now), now);
+    }
+
+    private List<TargetState> servingTargets(long now) {
+        return targets.values().stream()
+                .filter(target -> !target.isEjected() && !isUnavailable(target, now))
+                .toList();
+    }
+
     /** Records what {@code target} has asked for. */
     void recordNotice(TargetState target, TargetNotice notice, long now) {
         switch (notice) {
@@ -211,6 +225,9 @@
         if (trial != null && probeBudget.trySpend(TRIAL_COST_NANOS)) {
             return trial;
         }
+        if (excluded.isEmpty()) {
+            spill.update(serving, now);
+        }
         return picker.pick(serving.isEmpty() ? ejected : serving, request);
     }
 
@@ -249,6 +266,9 @@
                 recovering = target;
             }
         }
+        if (excluded.isEmpty()) {
+            spill.update(candidates, request.nowNanos());
+        }
         ImmutableList<TargetConfig> promising = picker.targetsToProbe(candidates, request, maxTargets);
         if (recovering == null || policy.testsRecoveryWithCalls()) {
             return promising;
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetState.java
@@ -221,6 +221,11 @@
         return fits(inFlight.size() + reported.knownOtherCalls(nowNanos) + 1);
     }
 
+    /** Returns whether the target can take one more call without delay, by its {@code report} alone. */
+    boolean hasRoomBy(LoadReport report) {
+        return fits(report.inFlight() + 1) && report.slowness() < SlownessScore.SLOW;
+    }
+
     private boolean fits(double calls) {
         return calls <= Math.min(limit, worthwhileSlots()) + SLOT_TOLERANCE;
     }
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
@@ -46,6 +46,7 @@
     private final TimeSource time;
     private final Supplier<RandomGenerator> random;
     private final String zone;
+    private final Optional<String> spillName;
     private volatile SharedBudget budget;
     private volatile int daemons = 1;
     private volatile @Nullable Deadline end;
@@ -66,12 +67,27 @@
         }
     }
 
-    /** Creates an empty set of dispatchers for a daemon in {@code zone}. */
+    /** Creates an empty set of dispatchers for a daemon in {@code zone}, each of whose calls is placed on its own. */
     public EntryDispatchers(TimeSource time, Supplier<RandomGenerator> random, SharedBudget budget, String zone) {
+        this(time, random, budget, zone, Optional.empty());
+    }
+
+    /**
+     * Creates an empty set of dispatchers for a daemon in {@code zone}.
+     *
+     * @param spillName the daemon's name, if a share of its calls may leave the zone, see {@link Dispatcher#spill}
+     */
+    public EntryDispatchers(
+            TimeSource time,
+            Supplier<RandomGenerator> random,
+            SharedBudget budget,
+            String zone,
+            Optional<String> spillName) {
         this.time = time;
         this.random = random;
         this.budget = budget;
         this.zone = zone;
+        this.spillName = spillName;
     }
 
     /**
@@ -162,12 +178,13 @@
 
     private Row newRow(String name) {
         WindowBudget own = WindowBudget.of(time, 0, 0, budget.window());
-        Dispatcher dispatcher = Dispatcher.builder()
+        Dispatcher.Builder builder = Dispatcher.builder()
                 .time(time)
                 .random(random.get())
                 .policy(new TargetPolicy.EarliestAnswer(zone))
-                .extraCalls(own)
-                .build();
+                .extraCalls(own);
+        spillName.ifPresent(builder::spillAs);
+        Dispatcher dispatcher = builder.build();
         Deadline stop = end;
         if (stop != null) {
             dispatcher.stopBy(stop);
