Metric and log line for the share of calls that leaves the zone

Cause: the share and its reason must be visible. Change: EntryDispatchers builds dispatchers that spill; SpillReporter reads the verdict once a second and writes event=zone_spill and anvilpick_zone_spill_percent when it has changed.

--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -42,6 +42,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -65,6 +66,9 @@
     /** Time between checks of how current the content is. */
     private static final Duration FRESHNESS_INTERVAL = Duration.ofMillis(250);
 
+    /** Time between log lines on the share of a service's calls that leave the zone. */
+    private static final Duration SPILL_REPORT_INTERVAL = Duration.ofSeconds(1);
+
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
     private static final long MAX_BODY_BYTES = 64L * 1024 * 1024;
     private static final int MAX_HEADER_BYTES = 64 * 1024;
@@ -82,6 +86,7 @@
     private final EntryMetrics metrics = new EntryMetrics();
     private final LoopHealth loopHealth = new LoopHealth(time);
     private final EntryDispatchers dispatchers;
+    private final SpillReporter spillReporter;
     private final EntryRunner runner;
     private final FleetState state;
     private final ViewFreshness freshness;
@@ -101,7 +106,9 @@
                 time,
                 SplittableRandom::new,
                 initial.extraCalls(),
-                initial.self().zone());
+                initial.self().zone(),
+                Optional.of(initial.self().name()));
+        this.spillReporter = new SpillReporter(dispatchers::all, metrics::zoneSpill);
         this.state = new FleetState(time, dispatchers::update);
         this.freshness = new ViewFreshness(time, initial.watchTimes().bound());
         RelayLog relayLog = new RelayLog(time);
@@ -211,6 +218,10 @@
             state.expire();
             return EXPIRY_INTERVAL;
         });
+        startLoop("zone-spill", () -> {
+            spillReporter.report();
+            return SPILL_REPORT_INTERVAL;
+        });
         startLoop("freshness", () -> {
             freshness.check();
             return FRESHNESS_INTERVAL;
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/EntryMetrics.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/EntryMetrics.java
@@ -1,5 +1,6 @@
 package io.anvilpick.daemon.metrics;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import io.anvilpick.entry.EntryCounts;
@@ -27,6 +28,10 @@
                     new MapperConfig("retries.*", "anvilpick_retries", Map.of("service", "${0}")),
                     new MapperConfig("hedges.*", "anvilpick_hedges", Map.of("service", "${0}")),
                     new MapperConfig("loopFaults.*", "anvilpick_loop_faults", Map.of("loop", "${0}")),
+                    new MapperConfig(
+                            "zoneSpill.*.*",
+                            "anvilpick_zone_spill_percent",
+                            Map.of("service", "${0}", "reason", "${1}")),
                     new MapperConfig("unreadable.*", "anvilpick_unreadable_entries", Map.of("kind", "${0}"))));
 
     @Override
@@ -63,6 +68,12 @@
         registry.counter(MetricRegistry.name("loopFaults", name)).inc();
     }
 
+    /** Sets the percentage of the calls of {@code service} that leaves the zone for {@code reason}. */
+    public void zoneSpill(String service, String reason, int percent) {
+        Counter counter = registry.counter(MetricRegistry.name("zoneSpill", service, reason));
+        counter.inc(percent - counter.getCount());
+    }
+
     /** Adds the counts of reads of unreadable entries, by kind. */
     public void unreadableEntries(Supplier<UnreadableCounts> counts) {
         gauge("unreadable.configuration", () -> counts.get().configurations());
