Calls do not wait for the few far targets in use while others have room

Cause: with a share, a call whose allowed targets had no room waited, or found none at all after failures, although other far targets had room. Change: such a call is placed among all targets; far targets in use that report to be full are added to before probes. Result: ZoneSpillTest#moreFarTargetsAreUsedWhileThoseInUseAreFull and #aCallThatFailedAtTheFarTargetsInUseGoesToOthers pass (run with the plain launcher; it was not shown that they fail without the change).

--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/ZoneSpill.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/ZoneSpill.java
@@ -96,6 +96,7 @@
         rooms.keySet().retainAll(zonesOf(targets));
     }
 
+    /** Returns whether {@code target} is in the daemon's zone. */
     boolean isNear(TargetState target) {
         return target.config().zone().equals(zone);
     }
@@ -133,6 +134,7 @@
         return room == null ? 1 : room.at(nowNanos);
     }
 
+    /** Returns the verdict of the last {@link #update}. */
     SpillVerdict verdict() {
         return verdict;
     }
@@ -208,7 +210,7 @@
 
     /** Uses more far targets, because those in use have no room. */
     void widen(long nowNanos) {
-        moreTargets++;
+        moreTargets = Math.min(ranked.size(), moreTargets + 1);
         widenedAtNanos = nowNanos;
     }
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/ZonedPicker.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/ZonedPicker.java
@@ -50,7 +50,11 @@
             }
             widenIfFull(far, request.nowNanos());
         }
-        return picker.pick(nearAnd(far, serving), request);
+        List<TargetState> allowed = nearAnd(far, serving);
+        if (hasNoRoom(allowed, request.nowNanos())) {
+            return picker.pick(serving, request);
+        }
+        return picker.pick(allowed, request);
     }
 
     /** Returns the targets to probe before a call is sent, of those in {@code serving}. */
@@ -68,6 +72,10 @@
             List<TargetState> serving, SpillVerdict.Spill some, TargetPicker.PickRequest request, int maxTargets) {
         ImmutableList<TargetState> far = spill.farTargets(serving, some.zones());
         if (spill.leaves(request.callId(), some.share())) {
+            if (far.stream().noneMatch(target -> target.mayHaveRoom(request.nowNanos()))) {
+                spill.widen(request.nowNanos());
+                far = spill.farTargets(serving, some.zones());
+            }
             if (picker.hasFreshGood(far, request)) {
                 return ImmutableList.of();
             }
@@ -80,11 +88,15 @@
     }
 
     private void widenIfFull(ImmutableList<TargetState> far, long nowNanos) {
-        if (far.stream().noneMatch(target -> target.hasRoom(nowNanos))) {
+        if (hasNoRoom(far, nowNanos)) {
             spill.widen(nowNanos);
         }
     }
 
+    private static boolean hasNoRoom(List<TargetState> targets, long nowNanos) {
+        return targets.stream().noneMatch(target -> target.hasRoom(nowNanos));
+    }
+
     private List<TargetState> nearOf(List<TargetState> serving) {
         return nearAnd(ImmutableList.of(), serving);
     }
--- a/anvilpick-core/src/test/java/io/anvilpick/dispatch/ZoneSpillTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/dispatch/ZoneSpillTest.java
@@ -235,6 +235,31 @@
         assertTrue(!used.isEmpty() && used.size() <= 4, used.toString());
     }
 
+    /** Guards against calls that wait for the few far targets in use while others are idle. */
+    @Test
+    void moreFarTargetsAreUsedWhileThoseInUseAreFull() {
+        Dispatcher dispatcher = dispatcher("d", "near", "far");
+        report(dispatcher, "near", FULL, Duration.ofSeconds(6));
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < TARGETS_PER_ZONE; i++) {
+            used.add(probeAndSend(dispatcher).target().id());
+        }
+        assertTrue(used.size() >= TARGETS_PER_ZONE / SLOTS, used.toString());
+    }
+
+    /** Guards against a call that waits because its earlier targets were the only ones that its share allows. */
+    @Test
+    void aCallThatFailedAtTheFarTargetsInUseGoesToOthers() {
+        Dispatcher dispatcher = dispatcher("d", "near", "far");
+        report(dispatcher, "near", FULL, Duration.ofSeconds(6));
+        Set<String> failed = new HashSet<>(farTargetsOf(dispatcher, 100));
+        for (int i = 0; i < TARGETS_PER_ZONE; i++) {
+            failed.add("near" + i);
+        }
+        time.advance(Duration.ofSeconds(5));
+        assertInstanceOf(Admission.Assigned.class, dispatcher.resubmit(call(), failed));
+    }
+
     /** Guards against a herd: daemons of a zone that all decide at once must not prefer the same targets. */
     @Test
     void daemonsPreferDifferentFarTargets() {
