--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -66,6 +66,12 @@
     /** Time between checks of how current the content is. */
     private static final Duration FRESHNESS_INTERVAL = Duration.ofMillis(250);
 
+    /**
+     * The name under which calls leave the zone as a share, see {@link io.anvilpick.dispatch.Dispatcher#spill}. Empty, because the
+     * share loses in the replay of demand in waves.
+     */
+    private static final Optional<String> SPILL_NAME = Optional.empty();
+
     /** Time between log lines on the share of a service's calls that leave the zone. */
     private static final Duration SPILL_REPORT_INTERVAL = Duration.ofSeconds(1);
 
@@ -107,7 +113,7 @@
                 SplittableRandom::new,
                 initial.extraCalls(),
                 initial.self().zone(),
-                Optional.of(initial.self().name()));
+                SPILL_NAME);
         this.spillReporter = new SpillReporter(dispatchers::all, metrics::zoneSpill);
         this.state = new FleetState(time, dispatchers::update);
         this.freshness = new ViewFreshness(time, initial.watchTimes().bound());
