--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
@@ -43,6 +43,7 @@
     private final ExtraCallBudget retries;
     private final ExtraCallBudget hedges;
     private final LatencyBaselines baselines = new LatencyBaselines();
+    private final ZoneSpill spill;
     private final TargetSet targets;
     private final OutcomeRecorder outcomes;
     private final WaitingCalls waiting;
@@ -57,9 +58,16 @@
         this.retries = builder.retries;
         this.hedges = builder.hedges;
         RandomGenerator random = checkNotNull(builder.random, "random");
-        this.targets = new TargetSet(new TargetPicker(policy, random), policy, time);
+        this.spill = spillOf(builder);
+        this.targets = new TargetSet(new TargetPicker(policy, random), policy, time, spill);
         this.waiting = new WaitingCalls(CallOrder.of(policy), baselines, random);
-        this.outcomes = new OutcomeRecorder(targets, baselines);
+        this.outcomes = new OutcomeRecorder(targets, baselines, spill);
+    }
+
+    private static ZoneSpill spillOf(Builder builder) {
+        return builder.spillName != null && builder.policy instanceof TargetPolicy.EarliestAnswer earliest
+                ? new ZoneSpill(earliest.zone(), builder.spillName)
+                : ZoneSpill.disabled();
     }
 
     /** Returns a new builder. */
@@ -149,7 +157,10 @@
 
     /** Records the load that a target reported in reply to a probe. */
     public void recordLoadReport(String targetId, LoadReport report) {
-        update(targetId, (state, now) -> targets.recordLoadReport(state, report, now));
+        update(targetId, (state, now) -> {
+            targets.recordLoadReport(state, report, now);
+            spill.onReport(state, report, now);
+        });
     }
 
     /** Records that a target replied to a load probe without reporting its load. */
@@ -351,6 +362,11 @@
         return locked(now -> targets.views(now));
     }
 
+    /** Returns which calls leave the zone at present. */
+    public SpillVerdict spill() {
+        return locked(now -> targets.spill(now));
+    }
+
     private <T> T locked(LongFunction<T> decision) {
         lock.lock();
         try {
@@ -397,7 +413,12 @@
     }
 
     private Admission enqueue(Call call, Set<String> failed, long now) {
-        return waiting.add(call, failed, placement(now), targets.room(now), targets.restNanos(now), daemons > 1, now);
+        Admission admission =
+                waiting.add(call, failed, placement(now), targets.room(now), targets.restNanos(now), daemons > 1, now);
+        if (admission instanceof Admission.Waiting) {
+            spill.onQueued(now);
+        }
+        return admission;
     }
 
     private DispatchResult drain(long now) {
@@ -443,7 +464,7 @@
     }
 
     private TargetPicker.PickRequest pickRequest(Call call, long now, int queued) {
-        return new TargetPicker.PickRequest(now, call.goal(), baselineNanos(call.request()), queued);
+        return new TargetPicker.PickRequest(call.id(), now, call.goal(), baselineNanos(call.request()), queued);
     }
 
     private long baselineNanos(RequestConfig request) {
@@ -454,6 +475,7 @@
     public static final class Builder {
         private @Nullable TimeSource time;
         private @Nullable RandomGenerator random;
+        private @Nullable String spillName;
         private TargetPolicy policy = new TargetPolicy.LateBinding();
         private ExtraCallBudget retries = ShareBudget.ofPercent(RETRY_PERCENT, RETRY_RESERVE);
         private ExtraCallBudget hedges = ShareBudget.ofPercent(HEDGE_PERCENT, HEDGE_RESERVE);
@@ -478,6 +500,17 @@
             return this;
         }
 
+        /**
+         * Lets a share of the calls leave the zone when the zone's targets have too little room, under
+         * {@link TargetPolicy.EarliestAnswer}. Without this, each call is placed by its own estimates alone.
+         *
+         * @param daemon the name of this daemon, by which it ranks the targets of other zones
+         */
+        public Builder spillAs(String daemon) {
+            spillName = daemon;
+            return this;
+        }
+
         /** Sets one budget for both retries and hedges. By default each has a budget of its own. */
         public Builder extraCalls(ExtraCallBudget value) {
             retries = value;
--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetSet.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/TargetSet.java
@@ -26,10 +26,11 @@
     private static final int MAX_EJECTED_PERCENT = 50;
     private static final int PERCENT = 100;
 
-    private final TargetPicker picker;
+    private final ZonedPicker picker;
     private final TargetPolicy policy;
     private final PacedBudget probeBudget;
     private final ServiceEstimates estimates = ServiceEstimates.create();
+    private final ZoneSpill spill;
     private final Announcements announcements = new Announcements();
     private final EvacuatedZones evacuatedZones = new EvacuatedZones();
     private final ColdTargets coldTargets = new ColdTargets();
@@ -39,8 +40,9 @@
     private @Nullable ServiceConfig service;
     private int daemons = 1;
 
-    TargetSet(TargetPicker picker, TargetPolicy policy, TimeSource time) {
-        this.picker = picker;
+    TargetSet(TargetPicker picker, TargetPolicy policy, TimeSource time, ZoneSpill spill) {
+        this.spill = spill;
+        this.picker = new ZonedPicker(picker, spill);
         this.policy = policy;
         this.probeBudget = PacedBudget.perMilleOfSlots(time, 0, 0);
     }
@@ -60,6 +62,7 @@
             next.put(target.id(), stateOf(target, sameProcess ? known : null, limit, first, now));
         }
         targets = next;
+        spill.configure(next.values());
         announcements.retain(next.keySet(), now);
         coldTargets.register(next, now);
         service = changed;
@@ -183,6 +186,17 @@
         }
     }
 
+    /** Returns which calls leave the zone. */
+    SpillVerdict spill(long now) {
+        return spill.update(servingTargets(now), now);
+    }
+
+    private List<TargetState> servingTargets(long now) {
+        return targets.values().stream()
+                .filter(target -> !target.isEjected() && !isUnavailable(target, now))
+                .toList();
+    }
+
     /** Records what {@code target} has asked for. */
     void recordNotice(TargetState target, TargetNotice notice, long now) {
         switch (notice) {
@@ -282,6 +296,9 @@
         if (trial != null && probeBudget.trySpend(TRIAL_COST_NANOS)) {
             return trial;
         }
+        if (excluded.isEmpty()) {
+            spill.update(serving, now);
+        }
         TargetState picked = picker.pick(anyServing ? serving : ejected, request);
         return picked == null && !hasRoom(serving, now) ? picker.pick(cold, request) : picked;
     }
@@ -335,6 +352,9 @@
                 checked = target;
             }
         }
+        if (excluded.isEmpty()) {
+            spill.update(candidates, now);
+        }
         ImmutableList.Builder<TargetConfig> probed = ImmutableList.builder();
         probed.addAll(picker.targetsToProbe(candidates, request, maxTargets));
         if (recovering != null && !policy.testsRecoveryWithCalls()) {
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
@@ -53,6 +53,7 @@
     private final Supplier<RandomGenerator> random;
     private final String zone;
     private final String name;
+    private final boolean spillsBetweenZones;
     private volatile SharedBudget budget;
     private volatile double probeLimit = Double.POSITIVE_INFINITY;
     private volatile int daemons = 1;
@@ -83,9 +84,25 @@
         this(time, random, budget, zone, UNREGISTERED);
     }
 
-    /** Creates an empty set of dispatchers for the daemon {@code name} in {@code zone}. */
+    /** Creates an empty set of dispatchers for the daemon {@code name} in {@code zone}, which places each call on its own. */
     public EntryDispatchers(
             TimeSource time, Supplier<RandomGenerator> random, SharedBudget budget, String zone, String name) {
+        this(time, random, budget, zone, name, false);
+    }
+
+    /**
+     * Creates an empty set of dispatchers for the daemon {@code name} in {@code zone}.
+     *
+     * @param spillsBetweenZones whether a share of the calls may leave the zone, see {@link Dispatcher#spill}
+     */
+    public EntryDispatchers(
+            TimeSource time,
+            Supplier<RandomGenerator> random,
+            SharedBudget budget,
+            String zone,
+            String name,
+            boolean spillsBetweenZones) {
+        this.spillsBetweenZones = spillsBetweenZones;
         this.name = name;
         this.time = time;
         this.random = random;
@@ -206,12 +223,15 @@
 
     private Row newRow(String service) {
         WindowBudget own = WindowBudget.of(time, 0, 0, budget.window());
-        Dispatcher dispatcher = Dispatcher.builder()
+        Dispatcher.Builder builder = Dispatcher.builder()
                 .time(time)
                 .random(random.get())
                 .policy(new TargetPolicy.EarliestAnswer(zone))
-                .extraCalls(own)
-                .build();
+                .extraCalls(own);
+        if (spillsBetweenZones) {
+            builder.spillAs(name);
+        }
+        Dispatcher dispatcher = builder.build();
         dispatcher.setProbeLimit(probeLimit);
         Deadline stop = end;
         if (stop != null) {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -71,6 +71,9 @@
     /** Time between checks of how current the content is. */
     private static final Duration FRESHNESS_INTERVAL = Duration.ofMillis(250);
 
+    /** Time between log lines on the share of a service's calls that leave the zone. */
+    private static final Duration SPILL_REPORT_INTERVAL = Duration.ofSeconds(1);
+
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
     private static final long MAX_BODY_BYTES = 64L * 1024 * 1024;
     private static final int MAX_HEADER_BYTES = 64 * 1024;
@@ -88,6 +91,7 @@
     private final EntryMetrics metrics = new EntryMetrics();
     private final LoopHealth loopHealth = new LoopHealth(time);
     private final EntryDispatchers dispatchers;
+    private final SpillReporter spillReporter;
     private final EntryRunner runner;
     private final FleetState state;
     private final ViewFreshness freshness;
@@ -109,8 +113,10 @@
                 SplittableRandom::new,
                 initial.extraCalls(),
                 initial.self().zone(),
-                initial.self().name());
+                initial.self().name(),
+                initial.spillsBetweenZones());
         dispatchers.setProbeLimit(initial.probesPerSecond());
+        this.spillReporter = new SpillReporter(dispatchers::all, metrics::zoneSpill);
         this.freshness = new ViewFreshness(time, initial.watchTimes().bound());
         this.grantorMembers =
                 new GrantorMembers(time, initial.self().name(), freshness::provenAge, this::lapsedMembers);
@@ -260,6 +266,12 @@
             grantorMembers.check();
             return EXPIRY_INTERVAL;
         });
+        if (initial.spillsBetweenZones()) {
+            startLoop("zone-spill", () -> {
+                spillReporter.report();
+                return SPILL_REPORT_INTERVAL;
+            });
+        }
         startLoop("freshness", () -> {
             freshness.check();
             return FRESHNESS_INTERVAL;
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
@@ -27,6 +27,8 @@
  * @param allowanceBounds how far tenants may exceed their allowances; a change needs a restart
  * @param probesPerSecond maximum number of load probes that a target receives a second from all daemons together; infinite if there is
  *     no limit
+ * @param spillsBetweenZones whether a share of the calls may leave the zone when its targets have too little room; a change needs a
+ *     restart
  */
 public record EntrySettings(
         EntryMember self,
@@ -37,7 +39,8 @@
         Duration addressesGoodFor,
         WatchTimes watchTimes,
         AllowanceBounds allowanceBounds,
-        double probesPerSecond) {
+        double probesPerSecond,
+        boolean spillsBetweenZones) {
     public EntrySettings {
         checkArgument(grace.isPositive(), "grace must be positive: %s", grace);
         checkArgument(addressesGoodFor.isPositive(), "addressesGoodFor must be positive: %s", addressesGoodFor);
@@ -62,7 +65,8 @@
                 next.addressesGoodFor,
                 watchTimes,
                 allowanceBounds,
-                next.probesPerSecond);
+                next.probesPerSecond,
+                spillsBetweenZones);
     }
 
     /** Returns the names of the settings that differ in {@code other}. */
@@ -77,6 +81,7 @@
         addIfDifferent(names, "watchTimes", watchTimes, other.watchTimes);
         addIfDifferent(names, "allowanceBounds", allowanceBounds, other.allowanceBounds);
         addIfDifferent(names, "probesPerSecond", probesPerSecond, other.probesPerSecond);
+        addIfDifferent(names, "spillsBetweenZones", spillsBetweenZones, other.spillsBetweenZones);
         return names.build();
     }
 
@@ -96,6 +101,7 @@
         private @Nullable Duration addressesGoodFor;
         private WatchTimes watchTimes = WatchTimes.within(Optional.empty(), Optional.empty());
         private double probesPerSecond = Double.POSITIVE_INFINITY;
+        private boolean spillsBetweenZones;
 
         private AllowanceBounds allowanceBounds = AllowanceBounds.DEFAULT;
 
@@ -145,6 +151,12 @@
             return this;
         }
 
+        /** Sets whether a share of the calls may leave the zone when its targets have too little room. The default is no. */
+        public Builder spillsBetweenZones(boolean value) {
+            spillsBetweenZones = value;
+            return this;
+        }
+
         /** Sets the maximum number of load probes that a target receives a second from all daemons together. The default is no limit. */
         public Builder probesPerSecond(double value) {
             probesPerSecond = value;
@@ -167,7 +179,8 @@
                     checkNotNull(addressesGoodFor, "addressesGoodFor"),
                     watchTimes,
                     allowanceBounds,
-                    probesPerSecond);
+                    probesPerSecond,
+                    spillsBetweenZones);
         }
     }
 }
