--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryRunner.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryRunner.java
@@ -140,6 +140,7 @@
                 .find(request.host(), request.pathWithoutQuery())
                 .orElseThrow(() -> authorizer.noRoute(configuration, request));
         Optional<Tenant> tenant = authorizer.tenantOf(configuration, route, request);
+        tenant.ifPresent(each -> trace.tenant(each.name()));
         String service = roundRobin.next(route);
         trace.routed(route, service);
         Optional<Dispatcher> dispatcher = dispatchers.find(service);
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryTrace.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryTrace.java
@@ -26,6 +26,7 @@
     private long configurationVersion;
     private @Nullable Route route;
     private String service = "";
+    private String tenant = "";
 
     EntryTrace(EntryRequest request, TimeSource time) {
         this.request = request;
@@ -49,6 +50,10 @@
         service = chosenService;
     }
 
+    synchronized void tenant(String name) {
+        tenant = name;
+    }
+
     synchronized void sent(Assignment assignment) {
         sends++;
         addStep("sent:" + assignment.target().id() + "/" + assignment.target().zone() + assignment.reason());
@@ -81,7 +86,7 @@
 
     /** Returns the key-value pairs of the log line that is written when the request ends. */
     synchronized String describe() {
-        return "id=%s call=%d host=%s path=%s configuration=%d route=%s service=%s ms=%d waits_ms=%d sends=%d steps=%s"
+        return "id=%s call=%d host=%s path=%s configuration=%d route=%s service=%s%s ms=%d waits_ms=%d sends=%d steps=%s"
                 .formatted(
                         request.id(),
                         callId,
@@ -90,6 +95,7 @@
                         configurationVersion,
                         routeName(),
                         service,
+                        tenant.isEmpty() ? "" : " tenant=" + tenant,
                         elapsedMillis(),
                         TimeUnit.NANOSECONDS.toMillis(request.deadline().atNanos() - request.arrivedNanos()),
                         sends,
