Treat responses with an invalid head as lost connections

Cause: the clients of targets and of the store took over what Netty's decoder accepts. A target's answer with status 600, 999, 2000, 0200, +200 or 101, with the version HTTP/0.9, 1.2, 2.0 or 9.9, with a length beside a transfer encoding, with an encoding other than chunked, or in HTTP/1.0 with two lengths, reached its caller; status 000, 099 and 20 counted as interim and held the request until its deadline. Armeria's client passed on any status of up to ten digits. Change: ResponseHeadRules decides from the words of a head, StrictResponseDecoder applies it in both clients on Netty's codec. Such a head closes its connection and ends its call as lost: the target counts as failing, an idempotent request may go elsewhere, another gets 502. An invalid reply to a probe is not repeated on a new connection, and a connection that is lost after the target has sent something does not lower the idle time of connections. HttpTargetClient checks the status, which is what Armeria shows.

--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/ClientConnection.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/ClientConnection.java
@@ -110,8 +110,12 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-        if (current == null || response.decoderResult().isFailure()) {
-            fail("unreadable response");
+        if (current == null) {
+            close();
+            return;
+        }
+        if (response.decoderResult().isFailure()) {
+            fail(StrictResponseDecoder.reasonOf(response.decoderResult()));
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HttpServerClient.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/http/HttpServerClient.java
@@ -8,8 +8,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -24,7 +24,8 @@
  * A client of one HTTP/1.1 server over pooled connections. Thread safe.
  *
  * <p>Heads and bodies of responses are bounded. A connection whose response exceeds a bound is closed, and its call ends as
- * {@link ServerReply.TooLarge} if that is the bound of bodies and as {@link ServerReply.Lost} otherwise.
+ * {@link ServerReply.TooLarge} if that is the bound of bodies and as {@link ServerReply.Lost} otherwise. A response whose head is
+ * invalid ends its call as {@link ServerReply.Lost}, too. Calls use neither HEAD nor CONNECT.
  */
 public final class HttpServerClient {
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
@@ -54,7 +55,8 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new HttpClientCodec())
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(new StrictResponseDecoder())
                                 .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
                                 .addLast(new ClientConnection(HttpServerClient.this, channel, time));
                     }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/HttpTargetClient.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/HttpTargetClient.java
@@ -27,6 +27,7 @@
 import io.anvilpick.calls.TargetReply;
 import io.anvilpick.config.TargetConfig;
 import io.anvilpick.daemon.frontend.HeaderNames;
+import io.anvilpick.daemon.http.ResponseHeadRules;
 import io.anvilpick.dispatch.LoadReport;
 import io.anvilpick.dispatch.TargetNotice;
 import io.anvilpick.time.TimeSource;
@@ -39,7 +40,12 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 
-/** A client that sends calls to targets with Armeria's HTTP client. Thread safe. */
+/**
+ * A client that sends calls to targets with Armeria's HTTP client. Thread safe.
+ *
+ * <p>An answer whose status is not final ends its call as a lost connection does, and closes its connection. Armeria shows neither the version, the words of
+ * the status line nor the framing of an answer, so that those are not checked.
+ */
 public final class HttpTargetClient implements TargetClient {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
@@ -75,7 +81,7 @@
             ClientRequestContext context = captor.get();
             CompletableFuture<TargetReply> reply = response.aggregate()
                     .handle((aggregated, failure) ->
-                            failure == null ? replyOf(aggregated) : failureReplyOf(context, failure));
+                            failure == null ? replyOf(context, aggregated) : failureReplyOf(context, failure));
             return new HttpExchange(reply, response);
         }
     }
@@ -111,13 +117,15 @@
         return headers.build();
     }
 
-    private static TargetReply replyOf(AggregatedHttpResponse aggregated) {
+    private static TargetReply replyOf(ClientRequestContext context, AggregatedHttpResponse aggregated) {
+        int status = aggregated.status().code();
+        if (!ResponseHeadRules.isFinalStatus(status)) {
+            var unused = context.initiateConnectionShutdown();
+            return new TargetReply.Lost("invalid status");
+        }
         HttpHeaders headers = aggregated.headers();
         CallAnswer answer = new CallAnswer(
-                aggregated.status().code(),
-                HeaderNames.forwarded(headers),
-                aggregated.content().array(),
-                false);
+                status, HeaderNames.forwarded(headers), aggregated.content().array(), false);
         return new TargetReply.Answered(
                 answer,
                 loadOf(headers.get(HeaderNames.IN_FLIGHT, "")),
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/AnswerDecoder.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/AnswerDecoder.java
@@ -1,8 +1,7 @@
 package io.anvilpick.daemon.target.connections;
 
+import io.anvilpick.daemon.http.StrictResponseDecoder;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
 import org.jboss.logging.Logger;
 
@@ -10,7 +9,7 @@
  * A decoder of answers. An answer to a HEAD request has no body, whatever its headers say. Bytes that arrive while no answer is
  * expected belong to no request and close the connection. Confined to the thread of its channel.
  */
-final class AnswerDecoder extends HttpResponseDecoder {
+final class AnswerDecoder extends StrictResponseDecoder {
     private static final Logger LOG = Logger.getLogger(AnswerDecoder.class);
     private static final String HEAD = "HEAD";
 
@@ -41,7 +40,7 @@
     }
 
     @Override
-    protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        return isHeadRequest || super.isContentAlwaysEmpty(message);
+    protected boolean isBodyOmitted() {
+        return isHeadRequest;
     }
 }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/NettyTargetClient.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/NettyTargetClient.java
@@ -92,11 +92,11 @@
     }
 
     /**
-     * Repeats a lost probe on a new connection if the lost one went over a reused connection. The target may have dropped the
-     * idle connection and still be healthy.
+     * Repeats a lost probe on a new connection if the lost one went over a reused connection without any response. The target may
+     * have dropped the idle connection and still be healthy.
      */
     private CompletableFuture<TargetReply> retryIfStale(PendingExchange first, TargetReply reply) {
-        if (!(reply instanceof TargetReply.Lost) || !first.wasOnReusedConnection()) {
+        if (!(reply instanceof TargetReply.Lost) || !first.mayHaveMetADroppedConnection()) {
             return CompletableFuture.completedFuture(reply);
         }
         PendingExchange second = PendingExchange.probe(
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/PendingExchange.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/PendingExchange.java
@@ -24,6 +24,7 @@
 
     private final boolean probe;
     private volatile boolean onReusedConnection;
+    private volatile boolean responded;
 
     private PendingExchange(TargetConfig target, CallRequest request, String requestId, boolean probe) {
         this.target = target;
@@ -85,8 +86,19 @@
         onReusedConnection = reused;
     }
 
-    boolean wasOnReusedConnection() {
-        return onReusedConnection;
+    /** Records that the target has sent something on the connection since the request was sent. */
+    void recordResponse() {
+        responded = true;
+    }
+
+    /** Returns whether the target has sent something, be it valid or not. */
+    boolean hasResponse() {
+        return responded;
+    }
+
+    /** Returns whether the target may have dropped the connection before it received the request. */
+    boolean mayHaveMetADroppedConnection() {
+        return onReusedConnection && !responded;
     }
 
     boolean isDone() {
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/TargetConnection.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/target/connections/TargetConnection.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import io.anvilpick.calls.TargetReply;
+import io.anvilpick.daemon.http.StrictResponseDecoder;
 import io.anvilpick.dispatch.TargetNotice;
 import io.anvilpick.limits.HeldBytes;
 import io.anvilpick.time.Deadline;
@@ -14,7 +15,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.time.Duration;
@@ -32,7 +32,8 @@
  * is idle.
  *
  * <p>Bytes that arrive while no request is pending belong to no exchange and close the connection. Interim answers and answers to
- * other requests are skipped up to a bound. The bytes of a body count against the daemon's bound as they arrive.
+ * other requests are skipped up to a bound. The bytes of a body count against the daemon's bound as they arrive. A head that
+ * {@link StrictResponseDecoder} rejects ends the exchange as a lost connection does, and closes the connection.
  *
  * <p>A target may send an answer a second time, late, when another request is pending. Only the request id distinguishes
  * such a copy from the answer that is due. A connection therefore never carries again a request that was answered on it, and it is closed after an
@@ -197,15 +198,16 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext current, HttpObject message) {
-        if (message.decoderResult().isFailure()) {
-            fail(current, "broken answer");
-            return;
-        }
         if (exchange == null) {
             LOG.debugf("event=extra_bytes target=%s", address);
             current.close();
             return;
         }
+        exchange.recordResponse();
+        if (message.decoderResult().isFailure()) {
+            fail(current, StrictResponseDecoder.reasonOf(message.decoderResult()));
+            return;
+        }
         if (message instanceof HttpResponse response) {
             beginAnswer(response);
         }
@@ -236,9 +238,7 @@
 
     private void beginAnswer(HttpResponse response) {
         AnswerBuilder next = new AnswerBuilder(response, names);
-        boolean last = response.status().code() >= FIRST_FINAL_STATUS
-                || response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code();
-        if (!last || !matchesExchange(next)) {
+        if (response.status().code() < FIRST_FINAL_STATUS || !matchesExchange(next)) {
             answer = null;
             skippedAnswers++;
             return;
@@ -297,8 +297,10 @@
             ended.complete(new TargetReply.Cut(reason));
             return;
         }
-        Duration elapsed = Duration.ofNanos(time.nanos() - startedNanos);
-        pool.idleReuseLimit().recordLost(idleTimeBefore, elapsed);
+        if (!ended.hasResponse()) {
+            Duration elapsed = Duration.ofNanos(time.nanos() - startedNanos);
+            pool.idleReuseLimit().recordLost(idleTimeBefore, elapsed);
+        }
         ended.complete(new TargetReply.Lost("%s/rested_ms=%d".formatted(reason, idleTimeBefore.toMillis())));
     }
 
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/ScriptedServer.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/ScriptedServer.java
@@ -10,14 +10,16 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.UnaryOperator;
 
-/** A fake server that answers each request with the next enqueued bytes. */
+/** A fake server that answers each request with the next enqueued bytes, or with those that a function returns. */
 public final class ScriptedServer implements AutoCloseable {
     /** What happens to the connection after the bytes of a step. */
     public enum Ending {
@@ -36,6 +38,7 @@
     }
 
     private final ServerSocket server;
+    private final Optional<UnaryOperator<String>> answers;
     private final BlockingQueue<Step> steps = new LinkedBlockingQueue<>();
     private final CountDownLatch endlessAnswerClosed = new CountDownLatch(1);
     private final AtomicLong endlessBytes = new AtomicLong();
@@ -53,6 +56,16 @@
 
     /** Starts a server on a free port of the loopback address. */
     public ScriptedServer() throws IOException {
+        this(Optional.empty());
+    }
+
+    /** Starts a server that answers each request with the bytes that {@code answers} returns for it. */
+    public ScriptedServer(UnaryOperator<String> answers) throws IOException {
+        this(Optional.of(answers));
+    }
+
+    private ScriptedServer(Optional<UnaryOperator<String>> answers) throws IOException {
+        this.answers = answers;
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Thread.ofVirtual().start(this::accept);
     }
@@ -108,7 +121,7 @@
                 requests.add(request);
                 firstRequest.countDown();
                 received.release();
-                if (!answer(socket, steps.take())) {
+                if (!answer(socket, nextStep(request))) {
                     return;
                 }
             }
@@ -119,6 +132,10 @@
         }
     }
 
+    private Step nextStep(String request) throws InterruptedException {
+        return answers.isPresent() ? new Step.Once(answers.get().apply(request), Ending.KEEP) : steps.take();
+    }
+
     /** Returns whether the connection is kept. */
     private boolean answer(Socket socket, Step step) throws IOException {
         return switch (step) {
