--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
@@ -5,7 +5,6 @@
 
 import com.google.common.collect.ImmutableList;
 import io.anvilpick.config.Configuration;
-import io.anvilpick.config.RequestConfig;
 import io.anvilpick.config.ServiceConfig;
 import io.anvilpick.config.TargetConfig;
 import io.anvilpick.error.ErrorKind;
@@ -46,11 +45,11 @@
     private final ZoneSpill spill;
     private final TargetSet targets;
     private final OutcomeRecorder outcomes;
+    private final Placements placements;
     private final WaitingCalls waiting;
     private final ProbeAllowance probes = new ProbeAllowance();
     private @Nullable Configuration configuration;
     private int daemons = 1;
-    private long nextAssignmentId;
 
     private Dispatcher(Builder builder) {
         this.time = checkNotNull(builder.time, "time");
@@ -62,6 +61,7 @@
         this.targets = new TargetSet(new TargetPicker(policy, random), policy, time, spill);
         this.waiting = new WaitingCalls(CallOrder.of(policy), baselines, random);
         this.outcomes = new OutcomeRecorder(targets, baselines, spill);
+        this.placements = new Placements(targets, baselines);
     }
 
     private static ZoneSpill spillOf(Builder builder) {
@@ -207,7 +207,7 @@
                 return ImmutableList.of();
             }
             ImmutableList<TargetConfig> promising =
-                    targets.targetsToProbe(pickRequest(call, now, 0), excluded, maxTargets);
+                    targets.targetsToProbe(placements.pickRequest(call, now, 0), excluded, maxTargets);
             ImmutableList<TargetConfig> allowed = promising.subList(0, Math.min(promising.size(), available));
             probes.spend(allowed.size());
             return allowed;
@@ -230,10 +230,10 @@
             }
             waiting.onAsked(call, now);
             if (waiting.size() == 0) {
-                TargetState target = targets.pick(pickRequest(call, now, 0), Set.of());
+                TargetState target = targets.pick(placements.pickRequest(call, now, 0), Set.of());
                 if (target != null) {
                     waiting.onSent(call, now);
-                    return new Admission.Assigned(assign(call, target, now));
+                    return new Admission.Assigned(placements.assign(call, target, now));
                 }
             }
             return enqueue(call, Set.of(), now);
@@ -344,11 +344,11 @@
             if (!allowed) {
                 return Optional.empty();
             }
-            TargetState target = targets.pick(pickRequest(call, now, 0), tried);
+            TargetState target = targets.pick(placements.pickRequest(call, now, 0), tried);
             if (target == null || !hedges.tryWithdraw()) {
                 return Optional.empty();
             }
-            return Optional.of(assign(call, target, now));
+            return Optional.of(placements.assign(call, target, now));
         });
     }
 
@@ -404,17 +404,23 @@
             return new Admission.Refused(refusal.get());
         }
         waiting.onAsked(call, now);
-        TargetState target = targets.pick(pickRequest(call, now, 0), failed);
+        TargetState target = targets.pick(placements.pickRequest(call, now, 0), failed);
         if (target == null) {
             return enqueue(call, failed, now);
         }
         waiting.onSent(call, now);
-        return new Admission.Assigned(assign(call, target, now));
+        return new Admission.Assigned(placements.assign(call, target, now));
     }
 
     private Admission enqueue(Call call, Set<String> failed, long now) {
-        Admission admission =
-                waiting.add(call, failed, placement(now), targets.room(now), targets.restNanos(now), daemons > 1, now);
+        Admission admission = waiting.add(
+                call,
+                failed,
+                placements.forWaiting(this::weightOf, waiting.size(), now),
+                targets.room(now),
+                targets.restNanos(now),
+                daemons > 1,
+                now);
         if (admission instanceof Admission.Waiting) {
             spill.onQueued(now);
         }
@@ -422,55 +428,13 @@
     }
 
     private DispatchResult drain(long now) {
-        return waiting.drain(placement(now), hindrance(now), now);
-    }
-
-    private WaitingCalls.Placement placement(long now) {
-        return new WaitingCalls.Placement() {
-            @Override
-            public int weightOf(Call call) {
-                return Dispatcher.this.weightOf(call);
-            }
-
-            @Override
-            public boolean hasRoomFor(Call call, Set<String> failed) {
-                return targets.pickAgain(pickRequest(call, now, waiting.size() + 1), failed) != null;
-            }
-
-            @Override
-            public @Nullable Assignment tryAssign(Call call, int queued, Set<String> failed) {
-                TargetState target = targets.pickAgain(pickRequest(call, now, queued), failed);
-                return target == null ? null : assign(call, target, now);
-            }
-        };
+        return waiting.drain(placements.forWaiting(this::weightOf, waiting.size(), now), hindrance(now), now);
     }
 
     private int weightOf(Call call) {
         return configuration == null ? 1 : configuration.weightOf(call.tenant());
     }
 
-    private Assignment assign(Call call, TargetState target, long now) {
-        long baselineNanos = baselineNanos(call.request());
-        Assignment assignment = new Assignment(
-                nextAssignmentId++,
-                call,
-                target.config(),
-                now,
-                target.expectedSlowdown(now, baselineNanos),
-                target.occupancy(now));
-        target.start(assignment, baselineNanos);
-        targets.recordAssigned(target, now);
-        return assignment;
-    }
-
-    private TargetPicker.PickRequest pickRequest(Call call, long now, int queued) {
-        return new TargetPicker.PickRequest(call.id(), now, call.goal(), baselineNanos(call.request()), queued);
-    }
-
-    private long baselineNanos(RequestConfig request) {
-        return baselines.medianNanos(request);
-    }
-
     /** A builder of dispatchers. Not thread safe. */
     public static final class Builder {
         private @Nullable TimeSource time;
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -6,11 +6,7 @@
 import io.anvilpick.routes.RouteConfiguration;
 import io.anvilpick.time.TimeSource;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -18,7 +14,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
@@ -327,102 +322,4 @@
                 ImmutableList.copyOf(members.all()),
                 evacuations.zones());
     }
-
-    /** Registrations of one kind, including lapsed ones whose owners may register again. */
-    private static final class Registrations<T> {
-        private final String kind;
-        private final Function<T, String> groupOf;
-        private final Map<String, T> registrations = new LinkedHashMap<>();
-        private final Map<String, T> lapsed = new HashMap<>();
-        private final Consumer<T> removalListener;
-
-        /** Registrations that the store has neither stated nor deleted since its era changed. */
-        private final Set<String> keptMissing = new HashSet<>();
-
-        private Registrations(String kind, Function<T, String> groupOf, Consumer<T> removalListener) {
-            this.kind = kind;
-            this.groupOf = groupOf;
-            this.removalListener = removalListener;
-        }
-
-        /** Keeps all present registrations for the grace period if the store turns out to lack them. */
-        private void keepMissing() {
-            keptMissing.addAll(registrations.keySet());
-        }
-
-        private Iterable<T> all() {
-            return registrations.values();
-        }
-
-        private void put(String id, T registration) {
-            T before = registrations.put(id, registration);
-            lapsed.remove(id);
-            keptMissing.remove(id);
-            if (!registration.equals(before)) {
-                LOG.infof("event=%s_seen id=%s entry=\"%s\"", kind, id, registration);
-            }
-        }
-
-        private void remove(String id) {
-            keptMissing.remove(id);
-            lapse(id);
-        }
-
-        private void lapse(String id) {
-            T current = registrations.get(id);
-            if (current != null) {
-                lapsed.put(id, current);
-            }
-        }
-
-        private void retainAll(Set<String> ids) {
-            registrations.keySet().stream()
-                    .filter(id -> !ids.contains(id))
-                    .toList()
-                    .forEach(this::lapse);
-        }
-
-        private ImmutableSet<String> lapsed() {
-            return ImmutableSet.copyOf(lapsed.keySet());
-        }
-
-        private boolean hasLapsed() {
-            return !lapsed.isEmpty();
-        }
-
-        /**
-         * Removes lapsed registrations. In the grace period it keeps those that an older copy of the store lacked, and those of a group
-         * of which more than half have lapsed.
-         */
-        private void dropLapsed(boolean inGracePeriod) {
-            List<String> dropped = new ArrayList<>();
-            lapsed.forEach((id, registration) -> {
-                if (!inGracePeriod || !isKept(id, registration)) {
-                    dropped.add(id);
-                }
-            });
-            for (String id : dropped) {
-                registrations.remove(id);
-                removalListener.accept(lapsed.remove(id));
-                LOG.infof("event=%s_gone id=%s", kind, id);
-            }
-            if (!inGracePeriod) {
-                keptMissing.clear();
-            }
-        }
-
-        private boolean isKept(String id, T registration) {
-            return keptMissing.contains(id) || hasMostlyLapsed(groupOf.apply(registration));
-        }
-
-        private boolean hasMostlyLapsed(String group) {
-            return 2 * count(lapsed, group) > count(registrations, group);
-        }
-
-        private long count(Map<String, T> counted, String group) {
-            return counted.values().stream()
-                    .filter(registration -> groupOf.apply(registration).equals(group))
-                    .count();
-        }
-    }
 }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -155,7 +155,7 @@
         HeldBytes heldBodies = HeldBytes.atMost((long) (Runtime.getRuntime().maxMemory() * BODY_LIMIT_HEAP_SHARE));
         this.runner = newRunner(headers, crashes, heldBodies, allowances);
         this.server = newServer(builder, headers, heldBodies);
-        registerGauges();
+        EntryGauges.register(metrics, shutdown, state, freshness, loopHealth);
     }
 
     /** Returns a builder of a daemon. */
@@ -226,30 +226,6 @@
         return server.build();
     }
 
-    private void registerGauges() {
-        metrics.gauge("anvilpick_requests_in_flight", shutdown::inFlight);
-        metrics.gauge("anvilpick_members_known", () -> state.view().members().size());
-        metrics.gauge(
-                "anvilpick_zones_evacuated", () -> state.view().evacuatedZones().size());
-        metrics.gauge("anvilpick_view_age_ms", () -> freshness.age().toMillis());
-        metrics.gauge("anvilpick_store_revision", () -> freshness.revision().number());
-        metrics.gauge("anvilpick_store_era", () -> freshness.revision().era());
-        metrics.gauge("anvilpick_watches_overdue", freshness::overdueWatches);
-        metrics.gauge(
-                "anvilpick_configuration_version",
-                () -> state.view().configuration().map(each -> each.version()).orElse(0L));
-        metrics.gauge(
-                "anvilpick_configuration_unreadable",
-                () -> state.unreadableConfiguration().isPresent() ? 1 : 0);
-        metrics.gauge(
-                "anvilpick_configuration_unreadable_version",
-                () -> state.unreadableConfiguration()
-                        .map(each -> each.version().orElse(0))
-                        .orElse(0L));
-        metrics.gauge("anvilpick_loops_stuck", loopHealth::stuckLoops);
-        metrics.unreadableEntries(state::unreadableCounts);
-    }
-
     /** Starts to follow the store and to listen. Blocks until the daemon listens. */
     public void start() throws InterruptedException {
         startLoop("follower", follower::step);
