--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/ViewFreshnessTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/ViewFreshnessTest.java
@@ -37,7 +37,7 @@
     void provenAgeRunsFromTheStartOfTheRead() {
         freshness.recordReadStart();
         time.advance(Duration.ofSeconds(30));
-        freshness.recordRead(7, Duration.ofMillis(300));
+        freshness.recordRead(new StoreRevision(0, 7), Duration.ofMillis(300));
         assertEquals(Duration.ofMillis(300), freshness.age());
         assertEquals(Duration.ofMillis(30_000), freshness.provenAge());
     }
