Founders and daemons of old registrations grant at their full rate

Cause: daemons granted half of their rate for 20 s after a restart and a first start, and those of a first start that found another daemon waited 20 s.

Change: the setting `bootstrap` makes a daemon a founder although it finds others, unless one registered 30 s ago or more. Founders grant all of their rate by a view read 6 s after they first saw their registration. Registrations hold their time (`since`); a restarted daemon of at least 30 s grants all of its rate at once. A daemon registers only after its first read, as it would otherwise take its own new entry for that of an earlier process. FleetState delivers the first read also if the store is empty. An entry that the same process writes again gets the present time.

AllowanceModelTest and SimulatedFleet play these rules with wrong clocks and late founders. A lower limit is checked from 2.5 s and one window on, and from 17.5 s only if the store was away or a daemon cut off or suspended in those 2.5 s. A daemon of the model asks the store after its relay did not answer, as one that asks the dead relay again would be late for no real reason. New cases: at least 0.99 of the usual load is admitted 15 s after a first start and 1 s after a loss of power of all daemons.

Run: the tests of allowances and fleet in anvilpick-core, EntryDaemonTest, EntryPeersTest, PlatformStoreTest, SettingsFileTest: passed. Not run: StoreEraHeaderTest, the rest of the modules.

--- a/anvilpick-core/src/main/java/io/anvilpick/allowances/GrantorMembers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/allowances/GrantorMembers.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.locks.ReentrantLock;
@@ -32,25 +33,49 @@
     /** Time from a first registration until the daemon grants. Views without it have expired by then. */
     static final Duration SETTLE_TIME = Duration.ofSeconds(20);
 
-    /** Time from the registration until a daemon grants that found no other daemon, and may thus be the first. */
-    static final Duration SHORT_SETTLE_TIME = Duration.ofSeconds(3);
-
     /**
-     * The part of its rate that a daemon grants which did not wait for {@link #SETTLE_TIME}, until that has passed. After a restart
-     * its registration may be so recent that the others do not count it yet. A daemon that found no other may have read the store when
-     * the registrations of others had lapsed.
+     * The part of its rate that a restarted daemon grants until {@link #SETTLE_TIME} has passed, if it was registered less than
+     * {@link #COUNTED_AGE} ago. The others may not count it yet.
      */
     private static final double EARLY_RATE_FACTOR = 0.5;
 
-    /** Time after the first read within which daemons register that found no other daemon. */
+    /**
+     * Age of the registration of a restarted daemon from which all others count it: {@link #SETTLE_TIME}, and 10 s for a clock that
+     * was set forward in between.
+     */
+    private static final Duration COUNTED_AGE = SETTLE_TIME.plusSeconds(10);
+
+    /** Time after the first view within which founders register. */
     private static final Duration FOUNDING_TIME = Duration.ofSeconds(5);
 
+    /** Time after its registration at which a founder's view contains all daemons that started when it was not registered yet. */
+    static final Duration FOUNDERS_KNOWN_TIME = FOUNDING_TIME.plusSeconds(1);
+
+    /**
+     * Time after its first view for which a daemon of a first start takes into account that founders may still register. They do
+     * so until 45 s after the first registration: {@link #COUNTED_AGE}, 10 s by which clocks may differ, and {@link #FOUNDING_TIME}.
+     * A view of the age of {@link #MAX_VIEW_AGE} contains them after 60 s.
+     */
+    static final Duration FIRST_START_TIME = Duration.ofSeconds(60);
+
+    /**
+     * Maximum age of the view by which a daemon grants within {@link #FIRST_START_TIME}. It is less than {@link #FOUNDERS_KNOWN_TIME},
+     * so that a founder that starts later is in that view when it begins to grant.
+     */
+    static final Duration FIRST_START_VIEW_AGE = Duration.ofSeconds(5);
+
     /**
      * Time within which the first read of a daemon succeeds that may conclude from it that there are no other daemons. After an outage
      * of the store, registrations have lapsed although the daemons are alive.
      */
     private static final Duration MAX_FIRST_READ_TIME = Duration.ofSeconds(2);
 
+    /**
+     * Time between two reads after which a daemon is no founder any more. In a longer outage of the store the registrations of the
+     * others lapse, and a view from after it may lack them. Leases last 5 s and are renewed every 1.4 s.
+     */
+    private static final Duration MAX_FOUNDING_GAP = Duration.ofSeconds(3);
+
     /** Time without a read that shows its registration after which the others may have ceased to count a daemon. */
     private static final Duration MAX_UNPROVEN = Duration.ofSeconds(19);
 
@@ -70,14 +95,17 @@
     private final Supplier<ImmutableSet<String>> lapsed;
     private final Map<String, Known> known = new TreeMap<>();
 
+    private final boolean bootstrap;
     private final long createdNanos;
     private boolean viewSeen;
-    private boolean foundNoDaemon;
+    private boolean mayFound;
     private long firstViewNanos;
     private boolean selfInView;
     private boolean everRegistered;
     private boolean restarted;
-    private long settledNanos;
+    private boolean restartedEarly;
+    private boolean awaitsFounders;
+    private long foundersKnownNanos;
     private boolean registered;
     private long provenNanos;
     private long grantFromNanos;
@@ -106,11 +134,17 @@
      * @param self name of this daemon
      * @param viewAge the proven age of the newest view. While a view is observed, it is still that of the read before.
      * @param lapsed the names of daemons in the view whose registrations have lapsed
+     * @param bootstrap whether the whole system starts for the first time
      */
     public GrantorMembers(
-            TimeSource time, String self, Supplier<Duration> viewAge, Supplier<ImmutableSet<String>> lapsed) {
+            TimeSource time,
+            String self,
+            Supplier<Duration> viewAge,
+            Supplier<ImmutableSet<String>> lapsed,
+            boolean bootstrap) {
         this.time = time;
         this.self = self;
+        this.bootstrap = bootstrap;
         this.viewAge = viewAge;
         this.lapsed = lapsed;
         this.createdNanos = time.nanos();
@@ -129,14 +163,12 @@
             if (!viewSeen) {
                 viewSeen = true;
                 firstViewNanos = now;
-                boolean readAtOnce = now - createdNanos <= MAX_FIRST_READ_TIME.toNanos();
-                foundNoDaemon = readAtOnce && view.members().isEmpty();
-                restarted = view.members().stream().anyMatch(each -> each.name().equals(self));
+                onFirstView(view);
             }
             Set<String> present = new HashSet<>();
             for (EntryMember member : view.members()) {
                 present.add(member.name());
-                observe(member, previousReadNanos, now);
+                observe(member, previousReadNanos);
             }
             known.values().stream()
                     .filter(each -> !each.gone && !present.contains(each.member.name()))
@@ -190,7 +222,8 @@
         long now = time.nanos();
         lock.lock();
         try {
-            return everRegistered && now - settledNanos < 0 ? EARLY_RATE_FACTOR : 1;
+            boolean early = restartedEarly && now - firstViewNanos < SETTLE_TIME.toNanos();
+            return early ? EARLY_RATE_FACTOR : 1;
         } finally {
             lock.unlock();
         }
@@ -203,7 +236,7 @@
         lock.lock();
         try {
             checkSelf(now, age);
-            return registered && now - grantFromNanos >= 0 && age.compareTo(MAX_VIEW_AGE) <= 0;
+            return registered && !awaitsFounders && now - grantFromNanos >= 0 && age.compareTo(maxViewAge(now)) <= 0;
         } finally {
             lock.unlock();
         }
@@ -251,13 +284,44 @@
         }
     }
 
-    private void observe(EntryMember member, long previousReadNanos, long now) {
+    private void onFirstView(FleetView view) {
+        boolean readAtOnce = firstViewNanos - createdNanos <= MAX_FIRST_READ_TIME.toNanos();
+        boolean foundNoDaemon = readAtOnce && view.members().isEmpty();
+        boolean firstStart = bootstrap && view.members().stream().noneMatch(this::isLongRegistered);
+        mayFound = foundNoDaemon || firstStart;
+        Optional<EntryMember> own =
+                view.members().stream().filter(each -> each.name().equals(self)).findFirst();
+        restarted = own.isPresent();
+        restartedEarly = own.isPresent() && !isLongRegistered(own.get());
+    }
+
+    /** Returns whether all daemons count {@code member}, by the time of day of its registration. */
+    private boolean isLongRegistered(EntryMember member) {
+        return member.registeredMillis() > 0
+                && time.epochMillis() - member.registeredMillis() >= COUNTED_AGE.toMillis();
+    }
+
+    private boolean isFirstStart(long now) {
+        return bootstrap && now - firstViewNanos <= FIRST_START_TIME.toNanos();
+    }
+
+    private Duration maxViewAge(long now) {
+        return isFirstStart(now) ? FIRST_START_VIEW_AGE : MAX_VIEW_AGE;
+    }
+
+    /** Returns whether a daemon may be a founder that was not in the view that was read at {@code previousReadNanos}. */
+    private boolean mayBeFounder(long previousReadNanos) {
+        Duration limit = bootstrap ? FIRST_START_TIME : FOUNDERS_KNOWN_TIME;
+        return previousReadNanos - firstViewNanos <= limit.toNanos();
+    }
+
+    private void observe(EntryMember member, long previousReadNanos) {
         Known daemon = known.get(member.name());
         if (daemon == null) {
             daemon = new Known(member);
             known.put(member.name(), daemon);
-            // Daemons that found no other daemon grant early. They register within the founding time.
-            daemon.settling = now - firstViewNanos > FOUNDING_TIME.toNanos();
+            // Founders grant before the others would count them.
+            daemon.settling = !mayBeFounder(previousReadNanos);
             daemon.settledNanos = previousReadNanos + SETTLE_TIME.toNanos();
         }
         daemon.member = member;
@@ -275,10 +339,18 @@
         long proven = now - age.toNanos();
         if (!everRegistered) {
             everRegistered = true;
-            settledNanos = now + SETTLE_TIME.toNanos();
-            grantFromNanos = now + firstSettleTime(now).toNanos();
+            awaitsFounders = !restarted && isFounder(now);
+            foundersKnownNanos = now + FOUNDERS_KNOWN_TIME.toNanos();
+            grantFromNanos = now + firstSettleTime().toNanos();
         } else if (proven - provenNanos > MAX_UNPROVEN.toNanos()) {
+            awaitsFounders = false;
             grantFromNanos = now + SETTLE_TIME.toNanos();
+        } else if (awaitsFounders && proven - provenNanos > MAX_FOUNDING_GAP.toNanos()) {
+            awaitsFounders = false;
+            grantFromNanos = now + SETTLE_TIME.toNanos();
+        } else if (awaitsFounders && proven - foundersKnownNanos >= 0) {
+            awaitsFounders = false;
+            grantFromNanos = now;
         }
         if (proven - provenNanos > 0) {
             provenNanos = proven;
@@ -286,12 +358,18 @@
         registered = true;
     }
 
-    private Duration firstSettleTime(long now) {
+    /** Returns whether this daemon is a founder, if its registration is first seen at {@code now}. */
+    private boolean isFounder(long now) {
+        return mayFound
+                && now - firstViewNanos <= FOUNDING_TIME.toNanos()
+                && (bootstrap || now - createdNanos <= FOUNDERS_KNOWN_TIME.toNanos());
+    }
+
+    private Duration firstSettleTime() {
         if (restarted) {
             return Duration.ZERO;
         }
-        boolean founding = foundNoDaemon && now - firstViewNanos <= FOUNDING_TIME.toNanos();
-        return founding ? SHORT_SETTLE_TIME : SETTLE_TIME;
+        return awaitsFounders ? FOUNDERS_KNOWN_TIME : SETTLE_TIME;
     }
 
     private void selectIfDue() {
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -64,6 +64,8 @@
     private long lastAnswerNanos;
     private volatile long era = NO_ERA;
     private volatile FleetView view = FleetView.empty();
+
+    private volatile boolean read;
     private volatile ImmutableSet<String> lapsedMembers = ImmutableSet.of();
 
     /** The last view that the listener has taken. It is another object than {@link #view} until the listener has taken that. */
@@ -88,6 +90,11 @@
         this.lastAnswerNanos = graceEndNanos;
     }
 
+    /** Returns whether the whole content of the store has been read once. */
+    public boolean isRead() {
+        return read;
+    }
+
     /** Returns the current view. */
     public FleetView view() {
         return view;
@@ -214,7 +221,12 @@
             members.retainAll(registeredMembers);
             evacuations.retainAll(evacuatedZones);
             dropLapsed();
+            if (!read) {
+                // The listener gets the first view that was read also if the store is empty.
+                view = FleetView.empty();
+            }
             publish();
+            read = true;
         } finally {
             lock.unlock();
         }
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/MemberRegistrar.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/sync/MemberRegistrar.java
@@ -5,6 +5,7 @@
 import io.anvilpick.fleet.FleetStore;
 import io.anvilpick.fleet.StoreLease;
 import io.anvilpick.platform.PlatformException;
+import io.anvilpick.time.TimeSource;
 import java.time.Duration;
 import java.util.Optional;
 import org.jboss.logging.Logger;
@@ -29,15 +30,18 @@
     private final FleetStore store;
     private final FleetState state;
     private final EntryMember self;
+    private final TimeSource time;
     private Optional<StoreLease> lease = Optional.empty();
     private boolean registered;
+    private boolean everRegistered;
     private boolean left;
 
     /** Creates a registrar that has registered nothing yet. */
-    public MemberRegistrar(FleetStore store, FleetState state, EntryMember self) {
+    public MemberRegistrar(FleetStore store, FleetState state, EntryMember self, TimeSource time) {
         this.store = store;
         this.state = state;
         this.self = self;
+        this.time = time;
     }
 
     /** Registers this daemon or renews its lease, and returns the pause before the next step. */
@@ -80,11 +84,12 @@
 
     private void renewOrRegister() throws PlatformException {
         StoreLease current = validLease();
-        boolean vanished = registered && !state.view().members().contains(self);
+        boolean vanished = registered && state.view().members().stream().noneMatch(self::isSameDaemon);
         if (registered && !vanished) {
             return;
         }
-        registered = store.register(self, current);
+        registered = store.register(self.registeredAt(registeredMillis()), current);
+        everRegistered = everRegistered || registered;
         if (!registered) {
             lease = Optional.empty();
         }
@@ -93,6 +98,22 @@
                 self.name(), current.era(), current.number(), vanished, registered);
     }
 
+    /**
+     * Returns the time of registration to write. A process that starts takes over that of its earlier entry. An entry that is written
+     * again was missing from the store for an unknown time, in which others may have ceased to count this daemon.
+     */
+    private long registeredMillis() {
+        long now = time.epochMillis();
+        if (everRegistered || state.lapsedMembers().contains(self.name())) {
+            return now;
+        }
+        return state.view().members().stream()
+                .filter(each -> self.isSameDaemon(each) && each.registeredMillis() > 0)
+                .findFirst()
+                .map(EntryMember::registeredMillis)
+                .orElse(now);
+    }
+
     /** Renews the lease, or replaces it if it is not valid any more. */
     private StoreLease validLease() throws PlatformException {
         if (lease.isPresent() && store.renewLease(lease.get())) {
--- a/anvilpick-core/src/test/java/io/anvilpick/allowances/AllowanceModelTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/allowances/AllowanceModelTest.java
@@ -33,11 +33,14 @@
     private static final long FIRST_SEED = Long.getLong("anvilpick.allowanceSeed", 1);
     private static final long WINDOW = 5 * SECOND;
 
+    /** Time for a configuration to reach all daemons that grant and are connected to the store. */
+    private static final long CONFIGURATION_TIME = 2_500 * MILLI;
+
     /**
-     * Time for a configuration to reach all daemons that grant. One that is cut off from the store grants by its last view for up to
-     * 15 s, and learns of a lower limit no earlier.
+     * The same while a daemon is suspended or cut off from the store. It grants by its last view for up to 15 s, and learns of a lower
+     * limit no earlier.
      */
-    private static final long CONFIGURATION_TIME = 17_500 * MILLI;
+    private static final long CONFIGURATION_TIME_WHEN_CUT = 17_500 * MILLI;
 
     private static final Logger LOGGER = Logger.getLogger(PeerAllowanceLimiter.class.getName());
     private static final String LARGE = "large";
@@ -56,6 +59,9 @@
         LOGGER.setLevel(Level.WARNING);
     }
 
+    /** A time in which a daemon was suspended or cut off from the store. */
+    private record Cut(long from, long to) {}
+
     /** A limit that was in the store from {@code from} on. */
     private record Limits(long from, double rate, double burst) {
         double bound() {
@@ -64,12 +70,16 @@
     }
 
     private static void checkUpperBound(List<Long> runs, List<Limits> limits, String history) {
+        checkUpperBound(runs, limits, List.of(), history);
+    }
+
+    private static void checkUpperBound(List<Long> runs, List<Limits> limits, List<Cut> cuts, String history) {
         int first = 0;
         for (int last = 0; last < runs.size(); last++) {
             while (runs.get(last) - runs.get(first) >= WINDOW) {
                 first++;
             }
-            double bound = boundOf(limits, runs.get(first), runs.get(last));
+            double bound = boundOf(limits, cuts, runs.get(first), runs.get(last));
             int count = last - first + 1;
             if (count > bound) {
                 throw new AssertionError(history + ": " + count + " runs in the window to " + runs.get(last) / 1e9
@@ -79,10 +89,10 @@
     }
 
     /** Returns the largest bound that is in force, or is not yet replaced everywhere, in a window. */
-    private static double boundOf(List<Limits> limits, long from, long to) {
+    private static double boundOf(List<Limits> limits, List<Cut> cuts, long from, long to) {
         double bound = 0;
         for (int i = 0; i < limits.size(); i++) {
-            long end = i + 1 < limits.size() ? limits.get(i + 1).from() + CONFIGURATION_TIME + WINDOW : Long.MAX_VALUE;
+            long end = i + 1 < limits.size() ? inForceFrom(limits.get(i + 1), cuts) + WINDOW : Long.MAX_VALUE;
             if (limits.get(i).from() <= to && end >= from) {
                 bound = Math.max(bound, limits.get(i).bound());
             }
@@ -90,6 +100,13 @@
         return bound;
     }
 
+    /** Returns the time at which all daemons that grant know of {@code limits}. */
+    private static long inForceFrom(Limits limits, List<Cut> cuts) {
+        long usual = limits.from() + CONFIGURATION_TIME;
+        boolean cut = cuts.stream().anyMatch(each -> each.from() <= usual && each.to() >= limits.from());
+        return cut ? limits.from() + CONFIGURATION_TIME_WHEN_CUT : usual;
+    }
+
     /** Sends requests at random intervals until {@code end} to the daemon that {@code target} selects. */
     private static void load(
             SimulatedFleet fleet,
@@ -124,6 +141,7 @@
         private final long end;
         private final List<Limits> limits;
         private final List<String> log = new ArrayList<>();
+        private final List<Cut> cuts = new ArrayList<>();
         private int added;
 
         private Faults(SimulatedFleet fleet, int zones, long end, List<Limits> limits) {
@@ -142,6 +160,13 @@
             return (long) ((minSeconds + random.nextDouble() * (maxSeconds - minSeconds)) * SECOND);
         }
 
+        /** Returns a random time for which a daemon is cut off from now on. */
+        private long cutDuration(double minSeconds, double maxSeconds) {
+            long duration = duration(minSeconds, maxSeconds);
+            cuts.add(new Cut(fleet.now, fleet.now + duration));
+            return duration;
+        }
+
         private SimulatedDaemon daemon() {
             return fleet.daemons.get(random.nextInt(fleet.daemons.size()));
         }
@@ -159,7 +184,7 @@
             int kind = random.nextInt(10);
             log.add(kind + "@" + fleet.now / SECOND);
             switch (kind) {
-                case 0 -> fleet.cutStore(zone(), duration(1, 30));
+                case 0 -> fleet.cutStore(zone(), cutDuration(1, 30));
                 case 1 -> fleet.cutPeers(zone(), zone(), duration(1, 20));
                 case 2 -> {
                     String zone = zone();
@@ -170,9 +195,9 @@
                 }
                 case 3 -> {
                     fleet.storeAvailable = false;
-                    fleet.at(fleet.now + duration(1, 25), () -> fleet.storeAvailable = true);
+                    fleet.at(fleet.now + cutDuration(1, 25), () -> fleet.storeAvailable = true);
                 }
-                case 4 -> daemon().suspend(duration(0.2, 40));
+                case 4 -> daemon().suspend(cutDuration(0.2, 40));
                 case 5 -> killAndRestart(daemon());
                 case 6 -> {
                     if (random.nextInt(4) == 0) {
@@ -226,11 +251,10 @@
         SimulatedFleet fleet = new SimulatedFleet(seed, tenants(rate, burst));
         int zones = 1 + random.nextInt(4);
         if (random.nextBoolean()) {
-            fleet.addRegistered(1 + random.nextInt(12), zones);
+            fleet.addRegistered(1 + random.nextInt(12), zones, random.nextBoolean() ? 60_000 : 0);
         } else {
-            for (int i = 0; i < 1 + random.nextInt(12); i++) {
-                fleet.add("d" + i, "z" + i % zones);
-            }
+            fleet.bootstrap = random.nextBoolean();
+            startFirst(fleet, 1 + random.nextInt(12), zones, random.nextInt(3) * 5 * SECOND, random);
         }
         fleet.lossRate = random.nextInt(3) * 0.02;
         long end = 60 * SECOND;
@@ -245,7 +269,46 @@
         load(fleet, SMALL, rate / 20 * 3, end, AllowanceModelTest::anyDaemon);
         fleet.runUntil(end);
         String history = "seed " + seed + " " + faults.log;
-        checkUpperBound(fleet.runs.getOrDefault(LARGE, List.of()), limits, history);
+        checkUpperBound(fleet.runs.getOrDefault(LARGE, List.of()), limits, faults.cuts, history);
+    }
+
+    /** Starts daemons that were never registered, at random times within {@code spread}. */
+    private static void startFirst(SimulatedFleet fleet, int count, int zones, long spread, SplittableRandom random) {
+        fleet.add("d0", "z0");
+        for (int i = 1; i < count; i++) {
+            String name = "d" + i;
+            String zone = "z" + i % zones;
+            fleet.at((long) (random.nextDouble() * spread), () -> fleet.add(name, zone));
+        }
+    }
+
+    /** Guards against refusals at the beginning of the load, which comes 15 s after the first start of the fleet. */
+    @ParameterizedTest
+    @CsvSource({"5, 0", "58, 0", "58, 3", "112, 3"})
+    void theUsualLoadIsWithinTheAllowanceAfterAFirstStart(int daemons, int spreadSeconds) {
+        SimulatedFleet fleet = new SimulatedFleet(13, tenants(100, 50));
+        fleet.bootstrap = true;
+        startFirst(fleet, daemons, 4, spreadSeconds * SECOND, new SplittableRandom(13));
+        long end = 21 * SECOND;
+        fleet.at(15 * SECOND, () -> load(fleet, LARGE, 100 / 1.6, end, AllowanceModelTest::anyDaemon));
+        fleet.runUntil(end);
+        double share = fleet.runs.getOrDefault(LARGE, List.of()).size() / (double) fleet.demand.getOrDefault(LARGE, 0L);
+        assertTrue(share >= 0.99, "share " + share);
+    }
+
+    /** Guards against refusals after a loss of power of all daemons that ends before their leases do. */
+    @ParameterizedTest
+    @CsvSource({"5", "58"})
+    void theUsualLoadIsWithinTheAllowanceAfterALossOfPower(int daemons) {
+        SimulatedFleet fleet = new SimulatedFleet(17, tenants(100, 50));
+        fleet.addRegistered(daemons, 4, 60_000);
+        long end = 28 * SECOND;
+        fleet.at(20 * SECOND, () -> fleet.daemons.forEach(SimulatedDaemon::kill));
+        fleet.at(21 * SECOND, () -> fleet.daemons.forEach(SimulatedDaemon::start));
+        fleet.at(22 * SECOND, () -> load(fleet, LARGE, 100 / 1.6, end, AllowanceModelTest::anyDaemon));
+        fleet.runUntil(end);
+        double share = fleet.runs.getOrDefault(LARGE, List.of()).size() / (double) fleet.demand.getOrDefault(LARGE, 0L);
+        assertTrue(share >= 0.99, "share " + share);
     }
 
     /** Guards against rates that add up while substitutes take over from daemons that do not know of them. */
--- a/anvilpick-core/src/test/java/io/anvilpick/allowances/PeerAllowanceLimiterTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/allowances/PeerAllowanceLimiterTest.java
@@ -31,7 +31,8 @@
     private static final Tenant TENANT = new Tenant("t", 0, Optional.of(new Allowance(10, 10)));
 
     private final ManualTimeSource time = ManualTimeSource.startingAt(0);
-    private final GrantorMembers members = new GrantorMembers(time, "self", () -> Duration.ZERO, ImmutableSet::of);
+    private final GrantorMembers members =
+            new GrantorMembers(time, "self", () -> Duration.ZERO, ImmutableSet::of, false);
     private final List<Sent> sent = new ArrayList<>();
     private final Counts counts = new Counts();
     private final PeerAllowanceLimiter limiter = new PeerAllowanceLimiter(new PeerAllowanceLimiter.Parts(
--- a/anvilpick-core/src/test/java/io/anvilpick/allowances/SimulatedFleet.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/allowances/SimulatedFleet.java
@@ -42,6 +42,14 @@
     private static final long RENEW_INTERVAL = 1_400 * MILLI;
     private static final long POLL_INTERVAL = 250 * MILLI;
     private static final long CHECK_INTERVAL = 300 * MILLI;
+    private static final long READ_CHECK_INTERVAL = 50 * MILLI;
+
+    /** Time of day at the start. */
+    private static final long START_MILLIS = 1_700_000_000_000L;
+
+    /** Maximum difference of a clock from the true time. It differs after each restart. */
+    private static final long MAX_CLOCK_ERROR_MILLIS = 5_000;
+
     private static final AllowanceCounts NO_COUNTS = new AllowanceCounts() {
         @Override
         public void granted(String tenant) {}
@@ -65,6 +73,10 @@
     long messagesDropped;
     double lossRate;
     boolean storeAvailable = true;
+
+    /** The settings of all daemons that start state a first start, also if they start later. */
+    boolean bootstrap;
+
     TenantTable tenants;
 
     private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -111,10 +123,15 @@
         return daemon;
     }
 
-    /** Adds daemons that were registered before, as after a restart. */
+    /** Adds daemons that were registered just before, as after a restart. */
     void addRegistered(int count, int zones) {
+        addRegistered(count, zones, 0);
+    }
+
+    /** Adds daemons that registered {@code ageMillis} ago, as after a restart. */
+    void addRegistered(int count, int zones, long ageMillis) {
         for (int i = 0; i < count; i++) {
-            EntryMember member = memberOf("d" + i, "z" + i % zones);
+            EntryMember member = memberOf("d" + i, "z" + i % zones).registeredAt(START_MILLIS - ageMillis);
             registrations.put(member.name(), new Registration(member, now + LEASE));
         }
         updateStoredMembers();
@@ -178,6 +195,9 @@
         private FleetView view = FleetView.empty();
         private TenantTable activeTenants = TenantTable.none();
         private boolean read;
+        private boolean relayAnswered;
+        private boolean registeredInThisLife;
+        private long registeredMillis;
         private long readAt;
         private long provenAt;
         private @Nullable GrantorMembers members;
@@ -216,6 +236,9 @@
             view = FleetView.empty();
             activeTenants = TenantTable.none();
             read = false;
+            relayAnswered = true;
+            registeredInThisLife = false;
+            long clockError = random.nextLong(-MAX_CLOCK_ERROR_MILLIS, MAX_CLOCK_ERROR_MILLIS + 1);
             provenAt = now;
             TimeSource time = new TimeSource() {
                 @Override
@@ -225,18 +248,18 @@
 
                 @Override
                 public long epochMillis() {
-                    return 0;
+                    return START_MILLIS + now / MILLI + clockError;
                 }
             };
             GrantorMembers newMembers =
-                    new GrantorMembers(time, name, () -> Duration.ofNanos(now - provenAt), ImmutableSet::of);
+                    new GrantorMembers(time, name, () -> Duration.ofNanos(now - provenAt), ImmutableSet::of, bootstrap);
             AllowanceGrantor newGrantor = new AllowanceGrantor(time, name, newMembers, () -> activeTenants);
             members = newMembers;
             grantor = newGrantor;
             limiter = new PeerAllowanceLimiter(new PeerAllowanceLimiter.Parts(
                     time, name, newMembers, newGrantor, this::send, AllowanceBounds.DEFAULT, NO_COUNTS, random::split));
             at(now, this::poll);
-            at(now + random.nextLong(100 * MILLI), this::renew);
+            at(now + random.nextLong(100 * MILLI), () -> renew(time));
             at(now + CHECK_INTERVAL, this::check);
         }
 
@@ -270,22 +293,41 @@
             at(now + CHECK_INTERVAL, this::check);
         }
 
-        private void renew() {
+        /** Renews the registration. Writes it anew, with another time, if the lease has lapsed. */
+        private void renew(TimeSource time) {
+            if (!read) {
+                at(now + READ_CHECK_INTERVAL, () -> renew(time));
+                return;
+            }
             if (storeAvailable && !storeCuts.contains(zone)) {
-                registrations.put(name, new Registration(member, now + LEASE));
+                updateStoredMembers();
+                if (!registeredInThisLife) {
+                    registeredMillis = foundRegisteredMillis().orElseGet(time::epochMillis);
+                } else if (!registrations.containsKey(name)) {
+                    registeredMillis = time.epochMillis();
+                }
+                registeredInThisLife = true;
+                registrations.put(name, new Registration(member.registeredAt(registeredMillis), now + LEASE));
                 updateStoredMembers();
             }
-            at(now + RENEW_INTERVAL, this::renew);
+            at(now + RENEW_INTERVAL, () -> renew(time));
         }
 
-        /** Reads the store, or the daemon whose name sorts first in this zone. */
+        private Optional<Long> foundRegisteredMillis() {
+            return view.members().stream()
+                    .filter(member::isSameDaemon)
+                    .findFirst()
+                    .map(EntryMember::registeredMillis);
+        }
+
+        /** Reads the store, or the daemon whose name sorts first in this zone if it answered last time. */
         private void poll() {
             long started = now;
             Optional<SimulatedDaemon> relay = view.members().stream()
                     .filter(each -> each.zone().equals(zone) && each.name().compareTo(name) < 0)
                     .map(each -> byAddress.get(each.peerAddress()))
                     .findFirst();
-            boolean viaRelay = read && relay.isPresent() && random.nextDouble() < 0.9;
+            boolean viaRelay = read && relayAnswered && relay.isPresent() && random.nextDouble() < 0.9;
             if (viaRelay) {
                 pollRelay(relay.get(), started);
             } else {
@@ -302,12 +344,16 @@
                 updateStoredMembers();
                 FleetView answer = new FleetView(Optional.empty(), ImmutableMap.of(), storedMembers);
                 TenantTable stored = tenants;
-                at(now + delay(), () -> apply(answer, stored, started, 0));
+                at(now + delay(), () -> {
+                    relayAnswered = true;
+                    apply(answer, stored, started, 0);
+                });
             });
         }
 
         private void pollRelay(SimulatedDaemon relay, long started) {
             int relayLife = relay.life;
+            relayAnswered = false;
             transmit(this, relay, () -> {
                 if (!relay.read || relay.life != relayLife || now - relay.readAt > 1_280 * MILLI) {
                     return;
@@ -315,7 +361,10 @@
                 FleetView answer = relay.view;
                 TenantTable stored = relay.activeTenants;
                 long age = now - relay.readAt;
-                transmit(relay, this, () -> apply(answer, stored, started, age));
+                transmit(relay, this, () -> {
+                    relayAnswered = true;
+                    apply(answer, stored, started, age);
+                });
             });
         }
 
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FakeStore.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FakeStore.java
@@ -24,6 +24,7 @@
 /** A fake store whose answers are set by the test. */
 final class FakeStore implements FleetStore, FleetDecoder {
     final Deque<FleetUpdate> updates = new ArrayDeque<>();
+    EntryMember registered = new EntryMember("", "", "", "", "");
     final List<String> calls = new ArrayList<>();
     final List<Duration> waits = new ArrayList<>();
     final List<Long> decodedRevisions = new ArrayList<>();
@@ -119,6 +120,7 @@
     @Override
     public boolean register(EntryMember member, StoreLease lease) throws PlatformException {
         call("register " + lease.number());
+        registered = member;
         return leaseValid;
     }
 }
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FleetSyncTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FleetSyncTest.java
@@ -34,7 +34,7 @@
     private final FleetRelays relays = new FleetRelays(peers, state::view, SELF, time);
     private final FleetFollower follower =
             FleetFollower.of(new FleetFollower.Parts(store, store, state, log, relays, freshness, TIMES, time));
-    private final MemberRegistrar registrar = new MemberRegistrar(store, state, SELF);
+    private final MemberRegistrar registrar = new MemberRegistrar(store, state, SELF, time);
 
     private void applyOwnRegistration() {
         state.apply(List.of(new FleetChange.MemberRegistered(SELF)));
@@ -173,6 +173,28 @@
         assertEquals(List.of("grant", "register 1", "renew 1", "register 1"), store.calls);
     }
 
+    @Test
+    void restartedDaemonTakesOverTheTimeOfItsRegistration() throws Exception {
+        time.advance(Duration.ofMillis(90_000));
+        state.apply(List.of(new FleetChange.MemberRegistered(SELF.registeredAt(5_000))));
+        registrar.step();
+        assertEquals(5_000, store.registered.registeredMillis());
+    }
+
+    /** Guards against a time of registration that hides that the entry was missing, or that another process wrote it. */
+    @Test
+    void entryThatDisappearedOrHadOtherAddressesIsWrittenWithThePresentTime() throws Exception {
+        time.advance(Duration.ofMillis(90_000));
+        state.apply(List.of(new FleetChange.MemberRegistered(
+                new EntryMember(SELF.name(), "other:80", SELF.peerAddress(), "r", "z", 5_000))));
+        registrar.step();
+        assertEquals(90_000, store.registered.registeredMillis());
+        time.advance(Duration.ofMillis(1_000));
+        state.apply(List.of(new FleetChange.MemberRemoved(SELF.name())));
+        registrar.step();
+        assertEquals(91_000, store.registered.registeredMillis());
+    }
+
     @Test
     void leavingDaemonEndsItsLeaseAndStopsRenewing() throws Exception {
         registrar.step();
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RelayTest.java
@@ -155,7 +155,7 @@
         store.failDecodingOnce("t", new OutOfMemoryError("full"));
         assertThrows(OutOfMemoryError.class, follower::step);
         time.advance(Duration.ofSeconds(2));
-        MemberRegistrar registrar = new MemberRegistrar(store, state, SELF);
+        MemberRegistrar registrar = new MemberRegistrar(store, state, SELF, time);
         registrar.step();
         assertEquals(
                 Duration.ofSeconds(2),
@@ -173,7 +173,7 @@
     void relayWhoseWatchGetsNoResponseIsLeftWithinTheBound() throws Exception {
         registerMembers(SELF, RELAY);
         relayHasRead(20);
-        MemberRegistrar registrarOfRelay = new MemberRegistrar(store, state, RELAY);
+        MemberRegistrar registrarOfRelay = new MemberRegistrar(store, state, RELAY, time);
         for (Duration elapsed = Duration.ZERO; elapsed.compareTo(BOUND) < 0; elapsed = elapsed.plus(RELAY_POLL)) {
             registrarOfRelay.step();
             store.calls.clear();
@@ -191,7 +191,7 @@
         registerMembers(SELF, RELAY);
         ownLog.replaceAll(ImmutableMap.of(), revision(20), Duration.ZERO);
         time.advance(Duration.ofSeconds(2));
-        new MemberRegistrar(store, state, SELF).step();
+        new MemberRegistrar(store, state, SELF, time).step();
         assertEquals(
                 Duration.ofSeconds(2),
                 ownLog.updateAfter(revision(20)).orElseThrow().age());
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/StoreEraTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/StoreEraTest.java
@@ -51,7 +51,7 @@
         private final FleetFollower follower;
 
         private Daemon(EntryMember self) {
-            registrar = new MemberRegistrar(client, state, self);
+            registrar = new MemberRegistrar(client, state, self, time);
             FleetRelays relays = new FleetRelays(peers, state::view, self, time);
             ViewFreshness freshness = new ViewFreshness(time, TIMES.bound());
             follower = FleetFollower.of(
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -66,6 +66,9 @@
     private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(150);
 
     /** Time between checks for registrations that have expired. */
+    /** Interval at which the daemon checks whether the first read has succeeded, after which it registers. */
+    private static final Duration FIRST_READ_POLL_INTERVAL = Duration.ofMillis(50);
+
     private static final Duration EXPIRY_INTERVAL = Duration.ofMillis(300);
 
     /** Time between checks of how current the content is. */
@@ -112,8 +115,8 @@
                 initial.self().name());
         dispatchers.setProbeLimit(initial.probesPerSecond());
         this.freshness = new ViewFreshness(time, initial.watchTimes().bound());
-        this.grantorMembers =
-                new GrantorMembers(time, initial.self().name(), freshness::provenAge, this::lapsedMembers);
+        this.grantorMembers = new GrantorMembers(
+                time, initial.self().name(), freshness::provenAge, this::lapsedMembers, initial.bootstrap());
         this.state = new FleetState(time, this::update);
         RelayLog relayLog = new RelayLog(time);
         PeerClient peerClient = new PeerClient(loops, time);
@@ -144,7 +147,7 @@
                 freshness,
                 initial.watchTimes(),
                 time));
-        this.registrar = new MemberRegistrar(store, state, initial.self());
+        this.registrar = new MemberRegistrar(store, state, initial.self(), time);
         this.addressSelector = new EntryAddressSelector(state::view, initial.self());
         HeldBytes heldBodies = HeldBytes.atMost((long) (Runtime.getRuntime().maxMemory() * BODY_LIMIT_HEAP_SHARE));
         this.runner = newRunner(headers, crashes, heldBodies, allowances);
@@ -253,7 +256,8 @@
         LOG.infof(
                 "event=started name=%s zone=%s calls=%s metrics=%s",
                 initial.self().name(), initial.self().zone(), initial.callAddress(), initial.metricsAddress());
-        startLoop("membership", registrar::step);
+        // The first view shows whether this daemon was registered before.
+        startLoop("membership", () -> state.isRead() ? registrar.step() : FIRST_READ_POLL_INTERVAL);
         startLoop("era", registrar::checkEra);
         startLoop("expiry", () -> {
             state.expire();
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
@@ -27,6 +27,7 @@
  * @param allowanceBounds how far tenants may exceed their allowances; a change needs a restart
  * @param probesPerSecond maximum number of load probes that a target receives a second from all daemons together; infinite if there is
  *     no limit
+ * @param bootstrap whether the whole system starts for the first time; read at the start only
  */
 public record EntrySettings(
         EntryMember self,
@@ -37,7 +38,8 @@
         Duration addressesGoodFor,
         WatchTimes watchTimes,
         AllowanceBounds allowanceBounds,
-        double probesPerSecond) {
+        double probesPerSecond,
+        boolean bootstrap) {
     public EntrySettings {
         checkArgument(grace.isPositive(), "grace must be positive: %s", grace);
         checkArgument(addressesGoodFor.isPositive(), "addressesGoodFor must be positive: %s", addressesGoodFor);
@@ -62,7 +64,8 @@
                 next.addressesGoodFor,
                 watchTimes,
                 allowanceBounds,
-                next.probesPerSecond);
+                next.probesPerSecond,
+                bootstrap);
     }
 
     /** Returns the names of the settings that differ in {@code other}. */
@@ -98,6 +101,7 @@
         private double probesPerSecond = Double.POSITIVE_INFINITY;
 
         private AllowanceBounds allowanceBounds = AllowanceBounds.DEFAULT;
+        private boolean bootstrap;
 
         private Builder(EntryMember self) {
             this.self = self;
@@ -151,6 +155,12 @@
             return this;
         }
 
+        /** Sets whether the whole system starts for the first time. The default is that it does not. */
+        public Builder bootstrap(boolean value) {
+            bootstrap = value;
+            return this;
+        }
+
         /**
          * Returns the settings.
          *
@@ -167,7 +177,8 @@
                     checkNotNull(addressesGoodFor, "addressesGoodFor"),
                     watchTimes,
                     allowanceBounds,
-                    probesPerSecond);
+                    probesPerSecond,
+                    bootstrap);
         }
     }
 }
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryPeersTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryPeersTest.java
@@ -43,7 +43,7 @@
     private final CrashHistory crashes = new CrashHistory(time);
     private final List<String> sent = new ArrayList<>();
     private final GrantorMembers grantors =
-            new GrantorMembers(time, SELF.name(), () -> Duration.ZERO, ImmutableSet::of);
+            new GrantorMembers(time, SELF.name(), () -> Duration.ZERO, ImmutableSet::of, false);
     private final AllowanceGrantor allowances =
             new AllowanceGrantor(time, SELF.name(), grantors, EntryPeersTest::tenants);
     private final EntryPeers peers = new EntryPeers(new EntryPeers.Parts(
