--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntrySettings.java
@@ -29,6 +29,7 @@
  *     no limit
  * @param spillsBetweenZones whether a share of the calls may leave the zone when its targets have too little room; a change needs a
  *     restart
+ * @param bootstrap whether the whole system starts for the first time; read at the start only
  */
 public record EntrySettings(
         EntryMember self,
@@ -40,7 +41,8 @@
         WatchTimes watchTimes,
         AllowanceBounds allowanceBounds,
         double probesPerSecond,
-        boolean spillsBetweenZones) {
+        boolean spillsBetweenZones,
+        boolean bootstrap) {
     public EntrySettings {
         checkArgument(grace.isPositive(), "grace must be positive: %s", grace);
         checkArgument(addressesGoodFor.isPositive(), "addressesGoodFor must be positive: %s", addressesGoodFor);
@@ -66,7 +68,8 @@
                 watchTimes,
                 allowanceBounds,
                 next.probesPerSecond,
-                spillsBetweenZones);
+                spillsBetweenZones,
+                bootstrap);
     }
 
     /** Returns the names of the settings that differ in {@code other}. */
@@ -104,6 +107,7 @@
         private boolean spillsBetweenZones;
 
         private AllowanceBounds allowanceBounds = AllowanceBounds.DEFAULT;
+        private boolean bootstrap;
 
         private Builder(EntryMember self) {
             this.self = self;
@@ -163,6 +167,12 @@
             return this;
         }
 
+        /** Sets whether the whole system starts for the first time. The default is that it does not. */
+        public Builder bootstrap(boolean value) {
+            bootstrap = value;
+            return this;
+        }
+
         /**
          * Returns the settings.
          *
@@ -180,7 +190,8 @@
                     watchTimes,
                     allowanceBounds,
                     probesPerSecond,
-                    spillsBetweenZones);
+                    spillsBetweenZones,
+                    bootstrap);
         }
     }
 }
