--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,7 +3,7 @@
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 . "$here/../../bin/common.sh" || exit 2
 code=0
-"$JAVA_HOME/bin/java" -Xmx256m -cp "$top/target/review-2" CrashMemory "$here" "$top" || code=$?
+"$JAVA_HOME/bin/java" -Xmx256m -cp "$top/target/review-2" ManyRoutes "$here" "$top" || code=$?
 case "$code" in
     0 | 1) exit "$code" ;;
     *) exit 2 ;;
--- a/review/standins-2/Daemon.java
+++ b/review/standins-2/Daemon.java
@@ -50,10 +50,22 @@
                 "probesPerS", 60);
     }
 
+    /** The bounds of grown/plazhna-prod-grown.toml. */
+    static Map<String, Object> grownPlazhnaBounds() {
+        Map<String, Object> bounds = plazhnaBounds();
+        bounds.putAll(Json.map(
+                "ackMs", 5000, "catchUpS", 6, "drainMs", 2500, "configApplyMs", 2500, "retryAllowance", 178));
+        return bounds;
+    }
+
     String name() {
         return name;
     }
 
+    boolean isRunning() {
+        return process.isAlive();
+    }
+
     InetSocketAddress front() {
         return new InetSocketAddress("127.0.0.1", front);
     }
--- a/review/standins-2/Target.java
+++ b/review/standins-2/Target.java
@@ -118,6 +118,11 @@
         }
     }
 
+    /** Crashes, as a process that is killed. The target is back later with another id. */
+    void crash() throws IOException {
+        crash(boot);
+    }
+
     private void crash(Boot crashed) throws IOException {
         synchronized (this) {
             if (boot != crashed || crashed == null) {
