--- a/review/standins-2/Daemon.java
+++ b/review/standins-2/Daemon.java
@@ -58,6 +58,14 @@
         return bounds;
     }
 
+    /** The bounds of demands/fsw-cdr-gateway-grown.toml, but for the one that concerns evacuations. */
+    static Map<String, Object> tenantBounds() {
+        Map<String, Object> bounds = grownPlazhnaBounds();
+        bounds.putAll(Json.map(
+                "revokeMs", 5000, "quotaWindowS", 5, "quotaOvershoot", 0.1, "quotaSlack", 20, "retryAllowance", 222));
+        return bounds;
+    }
+
     String name() {
         return name;
     }
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -18,6 +18,7 @@
     static final int PAGE_ITEMS = 500;
     static final int PAGE_BYTES = 1_000_000;
     private static final int MAX_KEY_BYTES = 200;
+    private static final long SILENCE_MILLIS = 60_000;
 
     /** One write of a key; a null value is a deletion. */
     record Write(long atNanos, String key, String value, long rev, long created, long lease) {
@@ -45,6 +46,7 @@
     private RangeListener listener = (after, serializable) -> {};
     private final Http.Server server;
     private volatile boolean closed;
+    private volatile boolean down;
 
     Store() throws IOException {
         server = new Http.Server(new InetSocketAddress("127.0.0.1", 0), this::handle);
@@ -64,6 +66,16 @@
         listener = value;
     }
 
+    /** Answers no call from now on, also not later. Meanwhile all leases run out. */
+    synchronized void goDown() {
+        down = true;
+        List.copyOf(leases.keySet()).forEach(this::endLease);
+    }
+
+    synchronized void comeBack() {
+        down = false;
+    }
+
     void close() throws IOException {
         closed = true;
         server.kill();
@@ -129,6 +141,9 @@
 
     private void handle(Http.Message request, Socket socket) throws IOException, InterruptedException {
         Thread.sleep(4);
+        if (down) {
+            beSilent();
+        }
         String path = request.path();
         Map<String, String> query = request.query();
         if (path.equals("/api/kv-watch")) {
@@ -153,6 +168,12 @@
         }
     }
 
+    /** Never answers. The caller closes the connection when its time is over. */
+    private static void beSilent() throws IOException, InterruptedException {
+        Thread.sleep(SILENCE_MILLIS);
+        throw new IOException("no answer");
+    }
+
     private static long idIn(String path) {
         return Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
     }
@@ -223,7 +244,7 @@
         List<Map<String, Object>> events = new ArrayList<>();
         long readRevision;
         synchronized (this) {
-            while (revision <= after && System.nanoTime() - end < 0) {
+            while (!down && revision <= after && System.nanoTime() - end < 0) {
                 wait(Math.max(1, (end - System.nanoTime()) / 1_000_000));
             }
             for (int i = log.size() - 1; i >= 0 && log.get(i).rev() > after; i--) {
@@ -233,6 +254,9 @@
             }
             readRevision = revision;
         }
+        if (down) {
+            beSilent();
+        }
         respond(socket, 200, Json.map("events", events, "storeRevision", readRevision));
     }
 
