--- a/review/6/ManyRoutes.java
+++ b/review/6/ManyRoutes.java
@@ -22,7 +22,12 @@
     /** Requests that last too long from which the rule counts. */
     private static final int MIN_LONG_REQUESTS = 8;
 
-    private static final long REQUESTS_PER_SECOND = 120;
+    private static final long REQUESTS_PER_SECOND = 80;
+
+    /** Time for which clients send few requests, so that the new processes are warm. These requests don't count. */
+    private static final long WARM_UP_MILLIS = 6_000;
+
+    private static final long WARM_UP_REQUESTS_PER_SECOND = 10;
     private static final long CHANGE_INTERVAL_MILLIS = 12_000;
     private static final long END_MILLIS = 60_000;
 
@@ -47,7 +52,7 @@
             }
             record.line("exit %d", code);
         }
-        System.exit(code);
+        System.exit(code == 1 ? Record.BROKEN : code);
     }
 
     private static int run(Path repository, Path temporary, Record record, List<Daemon> daemons, boolean trouble)
@@ -141,9 +146,14 @@
     /** Sends requests at a steady rate, one on each route in turn. */
     private static void sendAll(Daemon daemon, AtomicInteger routes, long startMillis, Record record, Tally tally) {
         try {
+            Tally ignored = new Tally();
+            for (long i = 0; record.millis() - startMillis < WARM_UP_MILLIS; i++) {
+                Thread.sleep(1_000 / WARM_UP_REQUESTS_PER_SECOND);
+                Thread.ofVirtual().start(() -> send(daemon, 0, record, ignored));
+            }
             int route = 0;
             for (long i = 0; record.millis() - startMillis < END_MILLIS; i++) {
-                long due = startMillis + i * 1_000 / REQUESTS_PER_SECOND;
+                long due = startMillis + WARM_UP_MILLIS + i * 1_000 / REQUESTS_PER_SECOND;
                 Thread.sleep(Math.max(0, due - record.millis()));
                 int used = route < routes.get() ? ++route : 0;
                 Thread.ofVirtual().start(() -> send(daemon, used, record, tally));
--- a/review/standins-2/Daemon.java
+++ b/review/standins-2/Daemon.java
@@ -8,11 +8,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** An entry daemon as a process of its own, started with the command of deploy/system.toml. */
 final class Daemon {
+    /** The processes that were started, which end with this one, however that ends. */
+    private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
+
+    static {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly)));
+    }
+
     private final Path repository;
     private final Path settings;
     private final Path log;
@@ -107,6 +116,7 @@
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         process = builder.start();
+        STARTED.add(process);
     }
 
     /** Returns the words of the command that the deploy file gives for the role. */
--- a/review/standins-2/Record.java
+++ b/review/standins-2/Record.java
@@ -5,6 +5,9 @@
 
 /** The file record.txt of a case: one line for each event, with the milliseconds since the start. Thread safe. */
 final class Record implements AutoCloseable {
+    /** The exit code of a program whose case has broken its rule. */
+    static final int BROKEN = 10;
+
     private final long startNanos = System.nanoTime();
     private final PrintWriter out;
 
