--- a/review/6/ManyRoutes.java
+++ b/review/6/ManyRoutes.java
@@ -36,7 +36,7 @@
     public static void main(String[] arguments) throws Exception {
         Path folder = Path.of(arguments[0]).toAbsolutePath();
         Path repository = Path.of(arguments[1]).toAbsolutePath();
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = !arguments[2].equals("0");
         int code = 2;
         List<Daemon> daemons = new ArrayList<>();
         Path temporary = Files.createTempDirectory("review");
