--- a/review/standins-2/Daemon.java
+++ b/review/standins-2/Daemon.java
@@ -18,6 +18,9 @@
     /** The processes that were started, which end with this one, however that ends. */
     private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
 
+    /** The ports that were given out, which may not be in use yet. */
+    private static final Set<Integer> TAKEN = ConcurrentHashMap.newKeySet();
+
     static {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly)));
     }
@@ -170,7 +173,9 @@
     private static int freePort() throws IOException {
         for (int i = 0; i < 200; i++) {
             int port = ThreadLocalRandom.current().nextInt(10_000, 32_000);
-            if (isFree(port) && isFree(port + 1)) {
+            if (!TAKEN.contains(port) && !TAKEN.contains(port + 1) && isFree(port) && isFree(port + 1)) {
+                TAKEN.add(port);
+                TAKEN.add(port + 1);
                 return port;
             }
         }
