--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetChange.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetChange.java
@@ -1,5 +1,7 @@
 package io.anvilpick.fleet;
 
+import com.google.common.collect.ImmutableList;
+import io.anvilpick.crashes.CrashReport;
 import io.anvilpick.routes.RouteConfiguration;
 import java.util.OptionalLong;
 
@@ -26,6 +28,12 @@
     /** A zone is no longer evacuated. */
     record ZoneReturned(String zone) implements FleetChange {}
 
+    /** A daemon wrote the batch {@code id} of crash reports. */
+    record CrashReportsWritten(String id, ImmutableList<CrashReport> reports) implements FleetChange {}
+
+    /** The batch {@code id} of crash reports was deleted or its lease has ended. */
+    record CrashReportsRemoved(String id) implements FleetChange {}
+
     /**
      * An item cannot be decoded, for {@code reason}.
      *
@@ -53,6 +61,9 @@
         /** The registration of daemon {@code name}. */
         record Member(String name) implements Subject {}
 
+        /** The batch {@code id} of crash reports. */
+        record CrashReports(String id) implements Subject {}
+
         /** Something that daemons do not use. */
         record Other(String key) implements Subject {}
     }
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -3,6 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import io.anvilpick.crashes.CrashReport;
+import io.anvilpick.crashes.CrashReportBatch;
+import io.anvilpick.crashes.CrashReportLedger;
 import io.anvilpick.routes.RouteConfiguration;
 import io.anvilpick.time.TimeSource;
 import java.time.Duration;
@@ -48,13 +51,14 @@
     private final ReentrantLock lock = new ReentrantLock();
     private final TimeSource time;
     private final Consumer<FleetView> listener;
+    private final CrashReportLedger crashReports;
     private final KeptAcrossEras eras;
     private final Registrations<RegisteredTarget> targets;
     private final Registrations<EntryMember> members;
     private final ZoneEvacuations evacuations = new ZoneEvacuations();
     private final UnreadableItems unreadable = new UnreadableItems();
     private @Nullable RouteConfiguration configuration;
-    private boolean storeUnavailable;
+    private volatile boolean storeUnavailable;
     private long graceEndNanos;
     private long lastAnswerNanos;
     private volatile long era = NO_ERA;
@@ -76,7 +80,18 @@
      *     once the listener has returned. If it throws, the next change, read or call of {@link #expire} delivers the view again.
      */
     public FleetState(TimeSource time, Consumer<FleetView> listener) {
+        this(time, listener, CrashReportLedger.unwritten(time));
+    }
+
+    /**
+     * Creates an empty state.
+     *
+     * @param listener as above
+     * @param crashReports receives the crash reports in the store; it is called under the lock
+     */
+    public FleetState(TimeSource time, Consumer<FleetView> listener, CrashReportLedger crashReports) {
         this.time = time;
+        this.crashReports = crashReports;
         this.listener = listener;
         this.eras = new KeptAcrossEras(time);
         this.targets = new Registrations<>("target", RegisteredTarget::service, eras::recordRemoval);
@@ -129,6 +144,11 @@
         }
     }
 
+    /** Returns whether the store answered the last call of this daemon. */
+    public boolean isStoreAvailable() {
+        return !storeUnavailable;
+    }
+
     /** Records that the store answered. Starts {@link #REREGISTRATION_GRACE} if it had not answered for {@link #MIN_OUTAGE}. */
     public void onStoreAnswered() {
         lock.lock();
@@ -199,6 +219,7 @@
             Set<String> registeredTargets = new HashSet<>();
             Set<String> registeredMembers = new HashSet<>();
             Set<String> evacuatedZones = new HashSet<>();
+            Set<String> crashReportBatches = new HashSet<>();
             for (FleetChange entry : entries) {
                 apply(entry);
                 switch (entry) {
@@ -207,6 +228,7 @@
                     case FleetChange.MemberRegistered registered ->
                         registeredMembers.add(registered.member().name());
                     case FleetChange.ZoneEvacuated evacuated -> evacuatedZones.add(evacuated.zone());
+                    case FleetChange.CrashReportsWritten written -> crashReportBatches.add(written.id());
                     default -> {
                         // Other changes register nothing.
                     }
@@ -215,6 +237,7 @@
             targets.retainAll(registeredTargets);
             members.retainAll(registeredMembers);
             evacuations.retainAll(evacuatedZones);
+            crashReports.retainBatches(crashReportBatches);
             dropLapsed();
             if (!read) {
                 // The listener gets the first view that was read also if the store is empty.
@@ -263,6 +286,11 @@
             case FleetChange.MemberRemoved removed -> members.remove(removed.name());
             case FleetChange.ZoneEvacuated evacuated -> evacuations.add(evacuated.zone());
             case FleetChange.ZoneReturned returned -> evacuations.remove(returned.zone());
+            case FleetChange.CrashReportsWritten(String id, ImmutableList<CrashReport> reports) -> {
+                crashReports.recordBatch(new CrashReportBatch(id, reports));
+                unreadable.remove(new FleetChange.Subject.CrashReports(id));
+            }
+            case FleetChange.CrashReportsRemoved removed -> crashReports.recordRemoval(removed.id());
             case FleetChange.Unreadable item ->
                 unreadable.add(item, configuration == null ? 0 : configuration.version());
         }
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetStore.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetStore.java
@@ -1,5 +1,6 @@
 package io.anvilpick.fleet;
 
+import io.anvilpick.crashes.CrashReportBatch;
 import io.anvilpick.platform.PlatformException;
 import java.time.Duration;
 
@@ -45,4 +46,7 @@
 
     /** Registers {@code member} until {@code lease} ends, and returns whether the lease was still valid. */
     boolean register(EntryMember member, StoreLease lease) throws PlatformException;
+
+    /** Writes a batch of crash reports that is kept until {@code lease} ends, and returns whether the lease was still valid. */
+    boolean writeCrashReports(CrashReportBatch batch, StoreLease lease) throws PlatformException;
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/UnreadableCounts.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/UnreadableCounts.java
@@ -18,6 +18,8 @@
                 new UnreadableCounts(configurations, targets + 1, members, others);
             case FleetChange.Subject.Member ignored ->
                 new UnreadableCounts(configurations, targets, members + 1, others);
+            case FleetChange.Subject.CrashReports ignored ->
+                new UnreadableCounts(configurations, targets, members, others + 1);
             case FleetChange.Subject.Other ignored ->
                 new UnreadableCounts(configurations, targets, members, others + 1);
         };
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/UnreadableItems.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/UnreadableItems.java
@@ -58,6 +58,7 @@
                         item.reason());
             case Subject.Target ignored -> logEntry(item);
             case Subject.Member ignored -> logEntry(item);
+            case Subject.CrashReports ignored -> logEntry(item);
             case Subject.Other ignored -> logEntry(item);
         }
     }
--- a/anvilpick-core/src/test/java/io/anvilpick/crashes/CrashHistoryTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/crashes/CrashHistoryTest.java
@@ -49,4 +49,31 @@
     void expiredReportIsNotAdded() {
         assertFalse(history.add(new CrashReport("print", "t1", time.epochMillis() - CrashReport.RETENTION_MILLIS)));
     }
+
+    /** Guards against a report of a wrong clock that would block a request for longer than others. */
+    @Test
+    void reportFromTheFutureIsNotAdded() {
+        assertFalse(history.add(new CrashReport(
+                "print", "t1", time.epochMillis() + Duration.ofHours(1).toMillis())));
+        assertTrue(history.isEmpty());
+    }
+
+    /** Guards against a heap that fills with the reports of requests that never come again. */
+    @Test
+    void reportsAreBoundedAndEndWithoutBeingAskedFor() {
+        history.add(new CrashReport("killer", "t1", time.epochMillis()));
+        history.add(new CrashReport("killer", "t2", time.epochMillis()));
+        for (int i = 0; i < 3 * CrashHistory.MAX_REQUESTS; i++) {
+            history.add(new CrashReport("suspect " + i, "t1", time.epochMillis()));
+        }
+        int kept = 0;
+        for (int i = 0; i < 3 * CrashHistory.MAX_REQUESTS; i++) {
+            kept += history.statusOf("suspect " + i) == CrashStatus.CLEAR ? 0 : 1;
+        }
+        assertTrue(kept < CrashHistory.MAX_REQUESTS, "kept " + kept);
+        assertEquals(CrashStatus.BLOCKED, history.statusOf("killer"));
+        time.advance(Duration.ofMillis(CrashReport.RETENTION_MILLIS));
+        history.removeExpired();
+        assertTrue(history.isEmpty());
+    }
 }
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FakeStore.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/FakeStore.java
@@ -3,6 +3,7 @@
 import static io.anvilpick.fleet.FleetSamples.revision;
 
 import com.google.common.collect.ImmutableList;
+import io.anvilpick.crashes.CrashReportBatch;
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetChange;
 import io.anvilpick.fleet.FleetDecoder;
@@ -123,4 +124,10 @@
         registered = member;
         return leaseValid;
     }
+
+    @Override
+    public boolean writeCrashReports(CrashReportBatch batch, StoreLease lease) throws PlatformException {
+        call("crashes " + lease.number());
+        return leaseValid;
+    }
 }
--- a/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RewindableStore.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/fleet/sync/RewindableStore.java
@@ -1,6 +1,7 @@
 package io.anvilpick.fleet.sync;
 
 import com.google.common.collect.ImmutableList;
+import io.anvilpick.crashes.CrashReportBatch;
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetChange;
 import io.anvilpick.fleet.FleetDecoder;
@@ -29,6 +30,7 @@
 final class RewindableStore implements FleetDecoder {
     private static final String TARGETS = "t/";
     private static final String MEMBERS = "m/";
+    private static final String CRASHES = "c/";
 
     private final TimeSource time;
     private final List<Write> writes = new ArrayList<>();
@@ -67,6 +69,16 @@
         append(TARGETS + id, Optional.empty());
     }
 
+    /** Removes all crash reports, as when their leases end. */
+    void endCrashReports() {
+        writes.stream()
+                .map(Write::key)
+                .filter(key -> key.startsWith(CRASHES))
+                .distinct()
+                .toList()
+                .forEach(key -> append(key, Optional.empty()));
+    }
+
     /** Returns from the copy that was made {@code age} ago, with the next era. What was written since is lost. */
     void goBack(Duration age) {
         long copiedAt = time.nanos() - age.toNanos();
@@ -100,6 +112,9 @@
             return ImmutableList.of(changesByText.get(item.value().get()));
         }
         String key = item.key();
+        if (key.startsWith(CRASHES)) {
+            return ImmutableList.of(new FleetChange.CrashReportsRemoved(key.substring(CRASHES.length())));
+        }
         return ImmutableList.of(
                 key.startsWith(TARGETS)
                         ? new FleetChange.TargetRemoved(key.substring(TARGETS.length()))
@@ -205,5 +220,12 @@
             put(member);
             return true;
         }
+
+        @Override
+        public boolean writeCrashReports(CrashReportBatch batch, StoreLease lease) throws PlatformException {
+            call("crashes");
+            write(CRASHES + batch.id(), new FleetChange.CrashReportsWritten(batch.id(), batch.reports()));
+            return true;
+        }
     }
 }
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -18,6 +18,7 @@
 import io.anvilpick.allowances.PeerAllowanceLimiter;
 import io.anvilpick.calls.Sender;
 import io.anvilpick.crashes.CrashHistory;
+import io.anvilpick.crashes.CrashReportLedger;
 import io.anvilpick.daemon.metrics.EntryMetrics;
 import io.anvilpick.daemon.target.connections.NettyTargetClient;
 import io.anvilpick.daemon.target.connections.TargetHeaders;
@@ -33,6 +34,7 @@
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.fleet.RelayLog;
 import io.anvilpick.fleet.ViewFreshness;
+import io.anvilpick.fleet.sync.CrashReportWriter;
 import io.anvilpick.fleet.sync.FleetFollower;
 import io.anvilpick.fleet.sync.FleetRelays;
 import io.anvilpick.fleet.sync.MemberRegistrar;
@@ -104,6 +106,7 @@
     private final EntryPeers peers;
     private final EventLoopGroup loops = CommonPools.workerGroup();
     private final MemberRegistrar registrar;
+    private final CrashReportWriter crashReportWriter;
     private final EntryAddressSelector addressSelector;
     private final Server server;
 
@@ -124,14 +127,16 @@
         this.freshness = new ViewFreshness(time, initial.watchTimes().bound());
         this.grantorMembers = new GrantorMembers(
                 time, initial.self().name(), freshness::provenAge, this::lapsedMembers, initial.bootstrap());
-        this.state = new FleetState(time, this::update);
+        CrashHistory crashes = new CrashHistory(time);
+        CrashReportLedger crashReports = new CrashReportLedger(time, crashes, this::turnToWriteCrashReports);
+        this.state = new FleetState(time, this::update, crashReports);
+        this.crashReportWriter = new CrashReportWriter(store, state, crashReports, crashes, initial.self(), time);
         RelayLog relayLog = new RelayLog(time);
         PeerClient peerClient = new PeerClient(loops, time);
-        CrashHistory crashes = new CrashHistory(time);
         AllowanceGrantor grantor =
                 new AllowanceGrantor(time, initial.self().name(), grantorMembers, this::activeTenants);
-        this.peers = new EntryPeers(
-                new EntryPeers.Parts(peerClient, state::view, initial.self(), relayLog, crashes, grantor, time));
+        this.peers = new EntryPeers(new EntryPeers.Parts(
+                peerClient, state::view, initial.self(), relayLog, crashes, crashReports, grantor, time));
         PeerAllowanceLimiter allowances = new PeerAllowanceLimiter(new PeerAllowanceLimiter.Parts(
                 time,
                 initial.self().name(),
@@ -165,6 +170,7 @@
                 inForce -> allowances.retain(inForce.tenants())));
         this.server = newServer(builder, headers, heldBodies);
         EntryGauges.register(metrics, shutdown, state, freshness, loopHealth);
+        metrics.gauge("anvilpick_crash_reports_unstored", crashReports::unstoredReports);
     }
 
     /** Returns a builder of a daemon. */
@@ -176,6 +182,10 @@
         return state.lapsedMembers();
     }
 
+    private Deadline turnToWriteCrashReports() {
+        return CrashReportWriter.turnOf(settings.current().self(), state.view(), time);
+    }
+
     private TenantTable activeTenants() {
         return state.view().configuration().map(RouteConfiguration::tenants).orElseGet(TenantTable::none);
     }
@@ -248,6 +258,7 @@
         // The first view shows whether this daemon was registered before.
         startLoop("membership", () -> state.isRead() ? registrar.step() : FIRST_READ_POLL_INTERVAL);
         startLoop("era", registrar::checkEra);
+        startLoop("crash-reports", crashReportWriter::step);
         startLoop("expiry", () -> {
             state.expire();
             grantorMembers.check();
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryPeers.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryPeers.java
@@ -4,6 +4,7 @@
 import io.anvilpick.allowances.AllowanceGrantor;
 import io.anvilpick.crashes.CrashHistory;
 import io.anvilpick.crashes.CrashReport;
+import io.anvilpick.crashes.CrashReportLedger;
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetView;
 import io.anvilpick.fleet.RelayLog;
@@ -28,7 +29,7 @@
 final class EntryPeers implements PeerHandler {
     private static final Logger LOG = Logger.getLogger(EntryPeers.class);
 
-    /** Time for another daemon to acknowledge a crash report. A failed report is not repeated. */
+    /** Time for another daemon to acknowledge a crash report. One that does not gets the report from the store. */
     private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
 
     private final PeerTransport peers;
@@ -36,6 +37,7 @@
     private final EntryMember self;
     private final RelayLog log;
     private final CrashHistory crashes;
+    private final CrashReportLedger crashReports;
     private final AllowanceGrantor allowances;
     private final TimeSource time;
 
@@ -45,6 +47,7 @@
         this.self = parts.self();
         this.log = parts.log();
         this.crashes = parts.crashes();
+        this.crashReports = parts.crashReports();
         this.allowances = parts.allowances();
         this.time = parts.time();
     }
@@ -56,6 +59,7 @@
      * @param view the current view, with the members to send to
      * @param log the items that this daemon has read from the store
      * @param crashes the crashes recorded in this daemon
+     * @param crashReports receives the reports that are new to this daemon, to be written to the store
      * @param allowances grants tokens of tenants to other daemons
      */
     record Parts(
@@ -64,6 +68,7 @@
             EntryMember self,
             RelayLog log,
             CrashHistory crashes,
+            CrashReportLedger crashReports,
             AllowanceGrantor allowances,
             TimeSource time) {}
 
@@ -76,6 +81,9 @@
                         .orElseGet(() -> new PeerReply.Rejected("follow: nothing has been read yet"));
             case CrashReportRequest crash -> {
                 boolean isNew = crashes.add(crash.report());
+                if (isNew) {
+                    crashReports.recordReport(crash.report());
+                }
                 LOG.infof("event=crash_heard target=%s news=%b", crash.report().target(), isNew);
                 yield new PeerReply.Acknowledged();
             }
@@ -84,8 +92,12 @@
         };
     }
 
-    /** Sends a crash report to the other daemons. A failure is logged, and the report is not repeated. */
+    /**
+     * Sends a new crash report to the other daemons, and has it written to the store. A failure to send is logged, and the report is
+     * not sent again.
+     */
     void reportCrash(CrashReport report) {
+        crashReports.recordReport(report);
         Deadline deadline = Deadline.after(time, REPORT_TIMEOUT);
         for (EntryMember member : view.get().members()) {
             if (!member.name().equals(self.name())) {
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryPeersTest.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/EntryPeersTest.java
@@ -10,6 +10,7 @@
 import io.anvilpick.allowances.GrantorMembers;
 import io.anvilpick.crashes.CrashHistory;
 import io.anvilpick.crashes.CrashReport;
+import io.anvilpick.crashes.CrashReportLedger;
 import io.anvilpick.crashes.CrashStatus;
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetView;
@@ -41,13 +42,15 @@
 
     private final ManualTimeSource time = ManualTimeSource.startingAt(0);
     private final CrashHistory crashes = new CrashHistory(time);
+    private final CrashReportLedger crashReports =
+            new CrashReportLedger(time, crashes, () -> Deadline.after(time, Duration.ZERO));
     private final List<String> sent = new ArrayList<>();
     private final GrantorMembers grantors =
             new GrantorMembers(time, SELF.name(), () -> Duration.ZERO, ImmutableSet::of, false);
     private final AllowanceGrantor allowances =
             new AllowanceGrantor(time, SELF.name(), grantors, EntryPeersTest::tenants);
     private final EntryPeers peers = new EntryPeers(new EntryPeers.Parts(
-            this::send, EntryPeersTest::view, SELF, new RelayLog(time), crashes, allowances, time));
+            this::send, EntryPeersTest::view, SELF, new RelayLog(time), crashes, crashReports, allowances, time));
 
     private static TenantTable tenants() {
         Tenant tenant = new Tenant("t", 0, Optional.of(new Allowance(10, 10)));
@@ -67,6 +70,16 @@
     void reportsACrashToTheOtherDaemonsAndIgnoresFailures() {
         peers.reportCrash(REPORT);
         assertEquals(List.of("a:81 " + new CrashReportRequest(REPORT)), sent);
+        assertEquals(List.of(REPORT), crashReports.takeDue());
+    }
+
+    /** Guards against a report that is in no store because the daemon that sent it has ended (review case 7). */
+    @Test
+    void writesTheReportsOfOtherDaemonsToo() {
+        peers.handle(new CrashReportRequest(REPORT));
+        peers.handle(new CrashReportRequest(REPORT));
+        assertEquals(List.of(REPORT), crashReports.takeDue());
+        assertEquals(List.of(), crashReports.takeDue());
     }
 
     @Test
--- a/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/FixedStore.java
+++ b/anvilpick-daemon/src/test/java/io/anvilpick/daemon/entry/FixedStore.java
@@ -1,6 +1,7 @@
 package io.anvilpick.daemon.entry;
 
 import com.google.common.collect.ImmutableList;
+import io.anvilpick.crashes.CrashReportBatch;
 import io.anvilpick.fleet.EntryMember;
 import io.anvilpick.fleet.FleetStore;
 import io.anvilpick.fleet.FleetUpdate;
@@ -78,4 +79,9 @@
     public boolean register(EntryMember member, StoreLease lease) {
         return true;
     }
+
+    @Override
+    public boolean writeCrashReports(CrashReportBatch batch, StoreLease lease) {
+        return true;
+    }
 }
