EntryDaemon, Dispatcher and FleetState are split

Change: EntryLoops has the background loops, EntryServer the HTTP server, DispatcherBuilder the construction of dispatchers, EntryIds what a read of the whole store contains. No behaviour changes.

--- a/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/dispatch/Dispatcher.java
@@ -9,7 +9,6 @@
 import io.anvilpick.config.TargetConfig;
 import io.anvilpick.error.ErrorKind;
 import io.anvilpick.limits.ExtraCallBudget;
-import io.anvilpick.limits.ShareBudget;
 import io.anvilpick.time.Deadline;
 import io.anvilpick.time.TimeSource;
 import java.time.Duration;
@@ -31,11 +30,6 @@
  * call is queued, the user calls {@link #dispatch} and {@link #withdrawIfLate} periodically.
  */
 public final class Dispatcher {
-    private static final int RETRY_PERCENT = 10;
-    private static final int RETRY_RESERVE = 10;
-    private static final int HEDGE_PERCENT = 10;
-    private static final int HEDGE_RESERVE = 10;
-
     private final ReentrantLock lock = new ReentrantLock();
     private final TimeSource time;
     private final TargetPolicy policy;
@@ -51,7 +45,7 @@
     private @Nullable Configuration configuration;
     private int daemons = 1;
 
-    private Dispatcher(Builder builder) {
+    Dispatcher(DispatcherBuilder builder) {
         this.time = checkNotNull(builder.time, "time");
         this.policy = builder.policy;
         this.retries = builder.retries;
@@ -64,15 +58,15 @@
         this.placements = new Placements(targets, baselines);
     }
 
-    private static ZoneSpill spillOf(Builder builder) {
+    private static ZoneSpill spillOf(DispatcherBuilder builder) {
         return builder.spillName != null && builder.policy instanceof TargetPolicy.EarliestAnswer earliest
                 ? new ZoneSpill(earliest.zone(), builder.spillName)
                 : ZoneSpill.disabled();
     }
 
     /** Returns a new builder. */
-    public static Builder builder() {
-        return new Builder();
+    public static DispatcherBuilder builder() {
+        return new DispatcherBuilder();
     }
 
     /**
@@ -439,61 +433,4 @@
     private int weightOf(Call call) {
         return configuration == null ? 1 : configuration.weightOf(call.tenant());
     }
-
-    /** A builder of dispatchers. Not thread safe. */
-    public static final class Builder {
-        private @Nullable TimeSource time;
-        private @Nullable RandomGenerator random;
-        private @Nullable String spillName;
-        private TargetPolicy policy = new TargetPolicy.LateBinding();
-        private ExtraCallBudget retries = ShareBudget.ofPercent(RETRY_PERCENT, RETRY_RESERVE);
-        private ExtraCallBudget hedges = ShareBudget.ofPercent(HEDGE_PERCENT, HEDGE_RESERVE);
-
-        private Builder() {}
-
-        /** Sets the time source. */
-        public Builder time(TimeSource value) {
-            time = value;
-            return this;
-        }
-
-        /** Sets the random generator. The dispatcher uses it only under its lock. */
-        public Builder random(RandomGenerator value) {
-            random = value;
-            return this;
-        }
-
-        /** Sets the policy by which targets are selected; {@link TargetPolicy.LateBinding} by default. */
-        public Builder policy(TargetPolicy value) {
-            policy = value;
-            return this;
-        }
-
-        /**
-         * Lets a share of the calls leave the zone when the zone's targets have too little room, under
-         * {@link TargetPolicy.EarliestAnswer}. Without this, each call is placed by its own estimates alone.
-         *
-         * @param daemon the name of this daemon, by which it ranks the targets of other zones
-         */
-        public Builder spillAs(String daemon) {
-            spillName = daemon;
-            return this;
-        }
-
-        /** Sets one budget for both retries and hedges. By default each has a budget of its own. */
-        public Builder extraCalls(ExtraCallBudget value) {
-            retries = value;
-            hedges = value;
-            return this;
-        }
-
-        /**
-         * Returns the dispatcher.
-         *
-         * @throws NullPointerException if time or random were not set
-         */
-        public Dispatcher build() {
-            return new Dispatcher(this);
-        }
-    }
 }
--- a/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/entry/EntryDispatchers.java
@@ -10,6 +10,7 @@
 import io.anvilpick.dispatch.ColdTargetRules;
 import io.anvilpick.dispatch.DispatchResult;
 import io.anvilpick.dispatch.Dispatcher;
+import io.anvilpick.dispatch.DispatcherBuilder;
 import io.anvilpick.dispatch.TargetPolicy;
 import io.anvilpick.dispatch.TargetTraits;
 import io.anvilpick.fleet.EntryMember;
@@ -272,7 +273,7 @@
 
     private Row newRow(String service) {
         WindowBudget own = WindowBudget.of(time, 0, 0, budget.window());
-        Dispatcher.Builder builder = Dispatcher.builder()
+        DispatcherBuilder builder = Dispatcher.builder()
                 .time(time)
                 .random(random.get())
                 .policy(new TargetPolicy.EarliestAnswer(zone))
--- a/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
+++ b/anvilpick-core/src/main/java/io/anvilpick/fleet/FleetState.java
@@ -9,11 +9,9 @@
 import io.anvilpick.routes.RouteConfiguration;
 import io.anvilpick.time.TimeSource;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
@@ -86,7 +84,7 @@
     /**
      * Creates an empty state.
      *
-     * @param listener as above
+     * @param listener see {@link #FleetState(TimeSource, Consumer)}
      * @param crashReports receives the crash reports in the store; it is called under the lock
      */
     public FleetState(TimeSource time, Consumer<FleetView> listener, CrashReportLedger crashReports) {
@@ -216,28 +214,15 @@
         lock.lock();
         try {
             changed = true;
-            Set<String> registeredTargets = new HashSet<>();
-            Set<String> registeredMembers = new HashSet<>();
-            Set<String> evacuatedZones = new HashSet<>();
-            Set<String> crashReportBatches = new HashSet<>();
+            EntryIds present = new EntryIds();
             for (FleetChange entry : entries) {
                 apply(entry);
-                switch (entry) {
-                    case FleetChange.TargetRegistered registered ->
-                        registeredTargets.add(registered.target().id());
-                    case FleetChange.MemberRegistered registered ->
-                        registeredMembers.add(registered.member().name());
-                    case FleetChange.ZoneEvacuated evacuated -> evacuatedZones.add(evacuated.zone());
-                    case FleetChange.CrashReportsWritten written -> crashReportBatches.add(written.id());
-                    default -> {
-                        // Other changes register nothing.
-                    }
-                }
+                present.add(entry);
             }
-            targets.retainAll(registeredTargets);
-            members.retainAll(registeredMembers);
-            evacuations.retainAll(evacuatedZones);
-            crashReports.retainBatches(crashReportBatches);
+            targets.retainAll(present.targets());
+            members.retainAll(present.members());
+            evacuations.retainAll(present.evacuatedZones());
+            crashReports.retainBatches(present.crashReportBatches());
             dropLapsed();
             if (!read) {
                 // The listener gets the first view that was read also if the store is empty.
--- a/anvilpick-core/src/test/java/io/anvilpick/dispatch/ZoneSpillTest.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/dispatch/ZoneSpillTest.java
@@ -37,7 +37,7 @@
     private int nextReport;
     private long nextCall;
 
-    private Dispatcher.Builder builder(RandomGenerator random) {
+    private DispatcherBuilder builder(RandomGenerator random) {
         return Dispatcher.builder()
                 .time(time)
                 .random(random)
@@ -49,7 +49,7 @@
         return configured(builder(new SplittableRandom(1)).spillAs(daemon), zones);
     }
 
-    private Dispatcher configured(Dispatcher.Builder builder, String... zones) {
+    private Dispatcher configured(DispatcherBuilder builder, String... zones) {
         Dispatcher dispatcher = builder.build();
         ImmutableList.Builder<TargetConfig> configs = ImmutableList.builder();
         ImmutableMap.Builder<String, TargetTraits> traits = ImmutableMap.builder();
--- a/anvilpick-core/src/test/java/io/anvilpick/dispatch/ZoneTrafficReplay.java
+++ b/anvilpick-core/src/test/java/io/anvilpick/dispatch/ZoneTrafficReplay.java
@@ -78,7 +78,7 @@
     /** Builds the dispatcher of one daemon. */
     @FunctionalInterface
     interface DispatcherFactory {
-        Dispatcher create(Dispatcher.Builder builder, String daemon);
+        Dispatcher create(DispatcherBuilder builder, String daemon);
     }
 
     /**
@@ -248,7 +248,7 @@
             List<Daemon> ofZone = new ArrayList<>();
             for (int i = 0; i < scenario.daemons()[zone]; i++) {
                 String name = zoneName(zone) + "d" + i;
-                Dispatcher.Builder builder = Dispatcher.builder()
+                DispatcherBuilder builder = Dispatcher.builder()
                         .time(time)
                         .random(random.split())
                         .policy(new TargetPolicy.EarliestAnswer(zoneName(zone)))
--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/entry/EntryDaemon.java
@@ -5,13 +5,8 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.linecorp.armeria.common.CommonPools;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpStatus;
-import com.linecorp.armeria.common.MediaType;
-import com.linecorp.armeria.common.SessionProtocol;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
-import com.linecorp.armeria.server.ServerBuilder;
 import io.anvilpick.allowances.AllowanceGrantor;
 import io.anvilpick.allowances.AllowanceLimiter;
 import io.anvilpick.allowances.GrantorMembers;
@@ -62,27 +57,10 @@
 /** An entry daemon, which accepts requests by host and path and sends them to targets. Thread safe. */
 public final class EntryDaemon {
     private static final Logger LOG = Logger.getLogger(EntryDaemon.class);
-    private static final MediaType SCRAPER_TEXT = MediaType.parse("text/plain; version=0.0.4; charset=utf-8");
 
     /** Maximum time to close the connections once the wait for requests in flight has ended. */
     private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(150);
 
-    /** Interval at which the daemon checks whether the first read has succeeded, after which it registers. */
-    private static final Duration FIRST_READ_POLL_INTERVAL = Duration.ofMillis(50);
-
-    /** Time between checks for registrations that have expired. */
-    private static final Duration EXPIRY_INTERVAL = Duration.ofMillis(300);
-
-    /** Time between checks of how current the content is. */
-    private static final Duration FRESHNESS_INTERVAL = Duration.ofMillis(250);
-
-    /** Time between log lines on the share of a service's calls that leave the zone. */
-    private static final Duration SPILL_REPORT_INTERVAL = Duration.ofSeconds(1);
-
-    private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
-    private static final long MAX_BODY_BYTES = 64L * 1024 * 1024;
-    private static final int MAX_HEADER_BYTES = 64 * 1024;
-
     /**
      * The share of the maximum heap that is the limit on the bytes of bodies held at a time. A request body counts with its
      * declared length from the start; other bodies count as their bytes arrive. An answer alone may hold a quarter of the heap.
@@ -96,17 +74,15 @@
     private final EntryMetrics metrics = new EntryMetrics(time);
     private final LoopHealth loopHealth = new LoopHealth(time);
     private final EntryDispatchers dispatchers;
-    private final SpillReporter spillReporter;
     private final EntryRunner runner;
     private final ConfigurationListeners configurationListeners;
     private final FleetState state;
     private final ViewFreshness freshness;
-    private final FleetFollower follower;
     private final GrantorMembers grantorMembers;
     private final EntryPeers peers;
-    private final EventLoopGroup loops = CommonPools.workerGroup();
+    private final EventLoopGroup eventLoops = CommonPools.workerGroup();
     private final MemberRegistrar registrar;
-    private final CrashReportWriter crashReportWriter;
+    private final EntryLoops loops;
     private final EntryAddressSelector addressSelector;
     private final Server server;
 
@@ -123,16 +99,14 @@
                 initial.self().name(),
                 initial.spillsBetweenZones());
         dispatchers.setProbeLimit(initial.probesPerSecond());
-        this.spillReporter = new SpillReporter(dispatchers::all, metrics::zoneSpill);
         this.freshness = new ViewFreshness(time, initial.watchTimes().bound());
         this.grantorMembers = new GrantorMembers(
                 time, initial.self().name(), freshness::provenAge, this::lapsedMembers, initial.bootstrap());
         CrashHistory crashes = new CrashHistory(time);
         CrashReportLedger crashReports = new CrashReportLedger(time, crashes, this::turnToWriteCrashReports);
         this.state = new FleetState(time, this::update, crashReports);
-        this.crashReportWriter = new CrashReportWriter(store, state, crashReports, crashes, initial.self(), time);
         RelayLog relayLog = new RelayLog(time);
-        PeerClient peerClient = new PeerClient(loops, time);
+        PeerClient peerClient = new PeerClient(eventLoops, time);
         AllowanceGrantor grantor =
                 new AllowanceGrantor(time, initial.self().name(), grantorMembers, this::activeTenants);
         this.peers = new EntryPeers(new EntryPeers.Parts(
@@ -150,7 +124,7 @@
                 ? FleetRelays.DirectReaders.ONE_PER_REGION
                 : FleetRelays.DirectReaders.ONE_PER_ZONE;
         FleetRelays relays = new FleetRelays(peerClient, state::view, initial.self(), time, directReaders);
-        this.follower = FleetFollower.of(new FleetFollower.Parts(
+        FleetFollower follower = FleetFollower.of(new FleetFollower.Parts(
                 store,
                 checkNotNull(builder.decoder, "decoder"),
                 state,
@@ -160,6 +134,17 @@
                 initial.watchTimes(),
                 time));
         this.registrar = new MemberRegistrar(store, state, initial.self(), time);
+        this.loops = new EntryLoops(
+                new EntryLoops.Parts(
+                        follower,
+                        state,
+                        registrar,
+                        new CrashReportWriter(store, state, crashReports, crashes, initial.self(), time),
+                        grantorMembers,
+                        freshness,
+                        new SpillReporter(dispatchers::all, metrics::zoneSpill)),
+                loopHealth,
+                metrics);
         this.addressSelector = new EntryAddressSelector(state::view, initial.self());
         HeldBytes heldBodies = HeldBytes.atMost((long) (Runtime.getRuntime().maxMemory() * BODY_LIMIT_HEAP_SHARE));
         this.runner = newRunner(headers, crashes, heldBodies, allowances);
@@ -168,7 +153,11 @@
                 runner::retain,
                 inForce -> grantor.retain(inForce.tenants()),
                 inForce -> allowances.retain(inForce.tenants())));
-        this.server = newServer(builder, headers, heldBodies);
+        this.server = EntryServer.create(
+                initial,
+                new EntryService(runner, headers, executor, time, shutdown, heldBodies),
+                metrics::scrape,
+                builder.pages.stream().map(page -> page.of(this)).toList());
         EntryGauges.register(metrics, shutdown, state, freshness, loopHealth);
         metrics.gauge("anvilpick_crash_reports_unstored", crashReports::unstoredReports);
     }
@@ -198,7 +187,7 @@
 
     private EntryRunner newRunner(
             TargetHeaders headers, CrashHistory history, HeldBytes heldBodies, AllowanceLimiter allowances) {
-        NettyTargetClient targets = new NettyTargetClient(loops, headers, time, heldBodies);
+        NettyTargetClient targets = new NettyTargetClient(eventLoops, headers, time, heldBodies);
         EntryCrashGuard crashes = new EntryCrashGuard(
                 history,
                 targets,
@@ -207,7 +196,11 @@
                 target -> !state.view().evacuatedZones().contains(target.zone()));
         EntryEvents events = new EntryEvents(metrics, time);
         Sender sender = new Sender(
-                targets, crashes, events, time, (nanos, action) -> loops.schedule(action, nanos, TimeUnit.NANOSECONDS));
+                targets,
+                crashes,
+                events,
+                time,
+                (nanos, action) -> eventLoops.schedule(action, nanos, TimeUnit.NANOSECONDS));
         return new EntryRunner(new EntryRunner.Parts(
                 state::view,
                 dispatchers,
@@ -220,72 +213,16 @@
                 allowances));
     }
 
-    private Server newServer(Builder builder, TargetHeaders headers, HeldBytes heldBodies) {
-        EntryService service = new EntryService(runner, headers, executor, time, shutdown, heldBodies);
-        EntrySettings initial = settings.current();
-        ServerBuilder server = Server.builder()
-                .port(initial.callAddress(), SessionProtocol.HTTP)
-                .port(initial.metricsAddress(), SessionProtocol.HTTP)
-                .requestTimeoutMillis(0)
-                .maxRequestLength(MAX_BODY_BYTES)
-                .http1MaxHeaderSize(MAX_HEADER_BYTES)
-                .http1MaxInitialLineLength(MAX_HEADER_BYTES)
-                .idleTimeout(IDLE_TIMEOUT)
-                .gracefulShutdownTimeoutMillis(0, 0)
-                .serviceUnder("/", service);
-        for (Page page : builder.pages) {
-            if (page.address().getPort() != initial.metricsAddress().getPort()) {
-                server.port(page.address(), SessionProtocol.HTTP);
-            }
-            server.virtualHost(page.address().getPort())
-                    .service(page.path(), page.factory().create(this));
-        }
-        server.virtualHost(initial.metricsAddress().getPort()).service("/metrics", (context, request) -> {
-            return HttpResponse.of(HttpStatus.OK, SCRAPER_TEXT, metrics.scrape());
-        });
-        return server.build();
-    }
-
     /** Starts to follow the store and to listen. Blocks until the daemon listens. */
     public void start() throws InterruptedException {
-        startLoop("follower", follower::step);
+        loops.startFollower();
         server.start().join();
-        PeerServer.listen(loops, peers.listenAddress(), peers);
+        PeerServer.listen(eventLoops, peers.listenAddress(), peers);
         EntrySettings initial = settings.current();
         LOG.infof(
                 "event=started name=%s zone=%s calls=%s metrics=%s",
                 initial.self().name(), initial.self().zone(), initial.callAddress(), initial.metricsAddress());
-        // The first view shows whether this daemon was registered before.
-        startLoop("membership", () -> state.isRead() ? registrar.step() : FIRST_READ_POLL_INTERVAL);
-        startLoop("era", registrar::checkEra);
-        startLoop("crash-reports", crashReportWriter::step);
-        startLoop("expiry", () -> {
-            state.expire();
-            grantorMembers.check();
-            return EXPIRY_INTERVAL;
-        });
-        if (initial.spillsBetweenZones()) {
-            startLoop("zone-spill", () -> {
-                spillReporter.report();
-                return SPILL_REPORT_INTERVAL;
-            });
-        }
-        startLoop("freshness", () -> {
-            freshness.check();
-            return FRESHNESS_INTERVAL;
-        });
-    }
-
-    private void startLoop(String name, BackgroundLoop.Step step) {
-        BackgroundLoop.Step observed = () -> {
-            Duration pause = step.run();
-            loopHealth.recordSuccess(name);
-            return pause;
-        };
-        BackgroundLoop.start(name, observed, () -> {
-            metrics.loopFault(name);
-            loopHealth.recordFault(name);
-        });
+        loops.startOthers(initial.spillsBetweenZones());
     }
 
     /** Adopts those values of {@code next} that need no restart. Calls in flight are not affected. */
@@ -355,7 +292,11 @@
         HttpService create(EntryDaemon daemon);
     }
 
-    private record Page(InetSocketAddress address, String path, PageFactory factory) {}
+    private record Page(InetSocketAddress address, String path, PageFactory factory) {
+        private EntryServer.Page of(EntryDaemon daemon) {
+            return new EntryServer.Page(address, path, factory.create(daemon));
+        }
+    }
 
     /** Builds an {@link EntryDaemon}. Not thread safe. */
     public static final class Builder {
