--- a/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/EntryMetrics.java
+++ b/anvilpick-daemon/src/main/java/io/anvilpick/daemon/metrics/EntryMetrics.java
@@ -25,7 +25,7 @@
  * bounded, as each takes several kilobytes of the heap.
  */
 public final class EntryMetrics implements EntryCounts {
-    /** Routes with metrics of their own. With histograms for three classes of status they take 4 MB. */
+    /** Routes with metrics of their own. With histograms for three classes of status they take 3 MB of the heap. */
     static final int MAX_ROUTES = 500;
 
     static final int MAX_SERVICES = 500;
