--- a/review/standins-3/Lab.java
+++ b/review/standins-3/Lab.java
@@ -174,6 +174,12 @@
             return this;
         }
 
+        /** Starts the daemon again; it is not the first start of the system any more. */
+        Daemon startAgain() throws IOException {
+            Files.writeString(settings, Files.readString(settings).replace("\"bootstrap\":true", "\"bootstrap\":false"));
+            return start();
+        }
+
         void signal(String signal) throws Exception {
             note("daemon %s gets SIG%s", name, signal);
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
@@ -491,6 +497,7 @@
         long revision = 1;
         long nextLease = 100;
         int pageSize = 500;
+        volatile boolean silent;
 
         Store() throws IOException {
             super("127.0.0.1");
@@ -511,6 +518,19 @@
             }
         }
 
+        /** Stops to answer. Waiting calls get no answer either. */
+        void fallSilent() {
+            note("the store falls silent");
+            silent = true;
+        }
+
+        /** Answers again. All leases have run out meanwhile. */
+        synchronized void returnWithoutLeases() {
+            List.copyOf(leases.keySet()).forEach(this::end);
+            silent = false;
+            note("the store answers again, all leases have ended");
+        }
+
         synchronized void end(long lease) {
             if (leases.remove(lease) == null) {
                 return;
@@ -557,6 +577,11 @@
             Request request;
             while ((request = Http.readRequest(in)) != null) {
                 Thread.sleep(2);
+                if (silent) {
+                    // Nothing more is answered on this connection, also after the outage.
+                    in.transferTo(OutputStream.nullOutputStream());
+                    return;
+                }
                 Map<String, String> query = new HashMap<>();
                 int mark = request.path.indexOf('?');
                 String path = mark < 0 ? request.path : request.path.substring(0, mark);
@@ -566,8 +591,11 @@
                         query.put(pair.substring(0, equals), URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
                     }
                 }
-                out.write(handle(request, path, query));
-                out.flush();
+                byte[] answer = handle(request, path, query);
+                if (!silent) {
+                    out.write(answer);
+                    out.flush();
+                }
             }
         }
 
@@ -724,7 +752,7 @@
             spawn(() -> {
                 while (true) {
                     Thread.sleep(1500);
-                    if (alive && registers) {
+                    if (alive && registers && !store.silent) {
                         register();
                     }
                 }
@@ -816,12 +844,13 @@
             }
             headers.put("Server-Load", running.get() + "," + waiting.get() + "," + slots + ",100");
             headers.put("Response-Seal", "seal." + request.header("Attempt-Id") + "." + id);
-            out.write(answer(200, headers, responseBody(request)));
-            out.flush();
+            respond(request, headers, socket, out);
         }
 
-        byte[] responseBody(Request request) {
-            return ("done " + request.path).getBytes(StandardCharsets.UTF_8);
+        /** Sends the answer to a request that has run. */
+        void respond(Request request, Map<String, String> headers, Socket socket, OutputStream out) throws Exception {
+            out.write(answer(200, headers, ("done " + request.path).getBytes(StandardCharsets.UTF_8)));
+            out.flush();
         }
     }
 }
--- a/review/standins-3/QuotaCase.java
+++ b/review/standins-3/QuotaCase.java
@@ -77,7 +77,7 @@
             }
             Lab.sleep(0.5);
             for (Lab.Daemon daemon : added) {
-                daemon.start();
+                daemon.startAgain();
             }
         }
         for (Thread client : clients) {
