--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-. "$(dirname "$0")/../run-3.sh" QuotaCase review/11
+. "$(dirname "$0")/../run-3.sh" DrainCase review/11
--- a/review/standins-3/Lab.java
+++ b/review/standins-3/Lab.java
@@ -760,9 +760,13 @@
         }
 
         void register() {
-            store.putText("servers/" + id,
-                    "{\"service\":\"%s\",\"addr\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"warmupLeftMs\":0,\"seq\":%d,\"born\":%d}"
-                            .formatted(service, host, port, zone, slots, leaving ? "draining" : "ready", sequence.incrementAndGet(), born));
+            store.putText("servers/" + id, entry());
+        }
+
+        /** Returns what the target writes with its next heartbeat. */
+        String entry() {
+            return "{\"service\":\"%s\",\"addr\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"warmupLeftMs\":0,\"seq\":%d,\"born\":%d}"
+                            .formatted(service, host, port, zone, slots, leaving ? "draining" : "ready", sequence.incrementAndGet(), born);
         }
 
         /** Crashes: nothing is sent any more, and the registration lapses later. */
