--- a/review/standins-3/DrainCase.java
+++ b/review/standins-3/DrainCase.java
@@ -10,15 +10,20 @@
 
 /** DRAIN: a heartbeat that the store takes late makes a draining target ready again, and the target then ends as it had announced. */
 final class DrainCase {
+    private static final int DAEMONS = 5;
     private static final int TARGETS = 12;
+    private static final int LEAVING = 3;
     private static final int WORK_MS = 180;
-    private static final int REQUEST_GAP_MS = 7;
+    private static final int REQUESTS_PER_SECOND = 155;
     private static final double DRAIN_SECONDS = 2;
     private static final double LOST_AT_SECONDS = 6;
     private static final double LOST_FOR_SECONDS = 4.5;
     private static final double LATE_SECONDS = 6;
     private static final double STABLE_WINDOW_SECONDS = 3;
-    private static final double SERVES_ON_SECONDS = 3.2;
+
+    /** Time from the ack until the target exits, of each target that leaves. */
+    private static final double[] SERVES_ON_SECONDS = {3.2, 3.6, 4.2};
+
     private static final double LENGTH_SECONDS = 20;
     private static final String CONFIG =
             """
@@ -41,15 +46,16 @@
         for (int i = 0; i < TARGETS; i++) {
             targets.add(lab.new Target(store, "till-" + i, "tillhand", Lab.ZONES[i % 3], "127.0.0." + (40 + i), 4, WORK_MS));
         }
-        List<Lab.Daemon> daemons = lab.startDaemons(3, store, Lab.BASE_BOUNDS, Lab.BASE_CONTRACTS);
+        List<Lab.Daemon> daemons = lab.startDaemons(DAEMONS, store, Lab.BASE_BOUNDS, Lab.BASE_CONTRACTS);
         if (daemons.isEmpty()) {
             return Lab.NOT_RUN;
         }
         double start = Lab.seconds();
         Map<Lab.Target, Double> acknowledged = new ConcurrentHashMap<>();
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i < LEAVING; i++) {
             Lab.Target leaving = targets.get(i);
-            Lab.spawn(() -> leave(lab, store, leaving, start, acknowledged));
+            double servesOn = SERVES_ON_SECONDS[i];
+            Lab.spawn(() -> leave(lab, store, leaving, servesOn, start, acknowledged));
         }
         Map<String, Double> sentAt = new ConcurrentHashMap<>();
         Map<String, Integer> answers = new ConcurrentHashMap<>();
@@ -57,8 +63,8 @@
         try (ExecutorService clients = Executors.newVirtualThreadPerTaskExecutor()) {
             while (Lab.seconds() < start + LENGTH_SECONDS) {
                 int number = sent.incrementAndGet();
-                clients.submit(() -> request(lab, daemons.get(number % 3), "c" + number, sentAt, answers));
-                Thread.sleep(REQUEST_GAP_MS);
+                clients.submit(() -> request(lab, daemons.get(number % DAEMONS), "c" + number, sentAt, answers));
+                Lab.sleep(Math.max(0, start + (double) number / REQUESTS_PER_SECOND - Lab.seconds()));
             }
             clients.shutdown();
             clients.awaitTermination(6, TimeUnit.SECONDS);
@@ -70,7 +76,8 @@
      * Ends a target as planned: it reports that it drains, serves on for a while and exits. The last heartbeat before the report had no
      * answer, and the store carries it out {@link #LATE_SECONDS} after it was sent.
      */
-    private static Void leave(Lab lab, Lab.Store store, Lab.Target target, double start, Map<Lab.Target, Double> acknowledged)
+    private static Void leave(
+            Lab lab, Lab.Store store, Lab.Target target, double servesOn, double start, Map<Lab.Target, Double> acknowledged)
             throws Exception {
         double lostUntil = start + LOST_AT_SECONDS + LOST_FOR_SECONDS;
         Lab.sleep(lostUntil - 0.05 - Lab.seconds());
@@ -88,7 +95,7 @@
             lab.note("the store carries out the heartbeat of target %s", target.id);
             store.putText("servers/" + target.id, lateBeat);
         }
-        Lab.sleep(acknowledged.get(target) + SERVES_ON_SECONDS - Lab.seconds());
+        Lab.sleep(acknowledged.get(target) + servesOn - Lab.seconds());
         store.delete("servers/" + target.id);
         target.crash();
         return null;
--- a/review/standins-3/RecoverCase.java
+++ b/review/standins-3/RecoverCase.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
-/** RECOVER: all processes are killed, and start again half a second later, while the store is down and leases run out. */
+/** RECOVER: all processes are killed, and start again at once, while the store is down and leases run out. */
 final class RecoverCase {
     private static final int RATE = 200;
     private static final int BURST = 20;
@@ -15,7 +15,8 @@
     private static final double LOAD_FROM_SECONDS = 10;
     private static final double FAULT_AT_SECONDS = 25;
     private static final double OUTAGE_SECONDS = 4.5;
-    private static final double DOWN_SECONDS = 0.5;
+    private static final double SILENT_BEFORE_SECONDS = 0.05;
+    private static final double DOWN_SECONDS = 0.1;
     private static final double RECOVERY_SECONDS = 15;
     private static final double JUDGED_SECONDS = 8;
     private static final double LEAST_SHARE = 0.25;
@@ -76,7 +77,7 @@
     }
 
     private static Void fail(Lab lab, Lab.Store store, List<Lab.Daemon> daemons) throws Exception {
-        Lab.sleep(FAULT_AT_SECONDS - 0.2 - Lab.seconds());
+        Lab.sleep(FAULT_AT_SECONDS - SILENT_BEFORE_SECONDS - Lab.seconds());
         store.fallSilent();
         Lab.sleep(FAULT_AT_SECONDS - Lab.seconds());
         for (Lab.Daemon daemon : daemons) {
@@ -86,7 +87,7 @@
         for (Lab.Daemon daemon : daemons) {
             daemon.startAgain();
         }
-        Lab.sleep(FAULT_AT_SECONDS - 0.2 + OUTAGE_SECONDS - Lab.seconds());
+        Lab.sleep(FAULT_AT_SECONDS - SILENT_BEFORE_SECONDS + OUTAGE_SECONDS - Lab.seconds());
         store.returnWithoutLeases();
         return null;
     }
